--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -1,15 +1,15 @@
-//! Carries the wire to and from any number of wheatlatch instances: it parses, translates and flushes.
+//! Carries the wire to and from any number of plovercove instances: it parses, translates and flushes.
 //! Every decision is the library's.
 
 mod read;
 mod write;
 
+use plovercove::{Action, Balancer, Event, NodeEntry};
 use read::{Fault, Incoming};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufWriter, Write};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::process::ExitCode;
-use wheatlatch::{Action, Balancer, Event, NodeEntry};
 
 /// One router of this process: its decisions and the names that its numbers stand for.
 struct Instance {
@@ -114,7 +114,7 @@
     match serve() {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
-            eprintln!("wheatlatch-adapter: {fault}");
+            eprintln!("plovercove-adapter: {fault}");
             ExitCode::FAILURE
         }
     }
--- a/adapter/src/read.rs
+++ b/adapter/src/read.rs
@@ -1,10 +1,10 @@
 //! The words of the wire as settings and events, and plain complaints about what is malformed.
 
+use plovercove::*;
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::Arc;
-use wheatlatch::*;
 
 /// What is wrong with the input, and where.
 #[derive(Debug)]
--- a/adapter/src/write.rs
+++ b/adapter/src/write.rs
@@ -1,7 +1,7 @@
 //! Actions in the words of the wire.
 
+use plovercove::Action;
 use std::fmt::Write;
-use wheatlatch::Action;
 
 /// Appends one instance's part of a reply; nothing where it has nothing to say.
 pub fn orders(reply: &mut String, who: &str, actions: &[Action], broken: Option<&str>) {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! What the tests share: small settings and a recorder of actions. No server is modelled.
 #![allow(dead_code)]
 
-use wheatlatch::*;
+use plovercove::*;
 
 pub const T0: Time = 1_000_000_000;
 pub const MS: Span = 1_000;
--- a/tests/growth.rs
+++ b/tests/growth.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use wheatlatch::*;
+use plovercove::*;
 
 fn crowd() -> Settings {
     // One attempt a request keeps the scenarios' books short.
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use wheatlatch::*;
+use plovercove::*;
 
 fn session_read(id: RequestId, key: &str) -> Demand {
     Demand { session: Some(key.into()), ..demand(id, SESSION) }
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -4,8 +4,8 @@
 mod common;
 
 use common::*;
+use plovercove::*;
 use std::collections::{BTreeMap, BTreeSet};
-use wheatlatch::*;
 
 struct Dice(u64);
 
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use wheatlatch::*;
+use plovercove::*;
 
 #[test]
 fn a_standing_position_means_a_growing_lag() {
