--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -5,7 +5,8 @@
 mod write;
 
 use plovercove::{Action, Balancer, Event, NodeEntry};
-use read::{Fault, Incoming};
+use plovercove_settings::Fault;
+use read::Incoming;
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufWriter, Write};
 use std::panic::{AssertUnwindSafe, catch_unwind};
--- a/adapter/src/write.rs
+++ b/adapter/src/write.rs
@@ -1,6 +1,7 @@
 //! Actions in the words of the wire.
 
 use plovercove::Action;
+use simd_json::prelude::*;
 use std::fmt::Write;
 
 /// Appends one instance's part of a reply; nothing where it has nothing to say.
@@ -26,7 +27,7 @@
 }
 
 fn quoted(text: &str) -> String {
-    serde_json::Value::from(text).to_string()
+    simd_json::OwnedValue::from(text).encode()
 }
 
 fn order(reply: &mut String, action: &Action) {
--- /dev/null
+++ b/settings/src/lib.rs
@@ -0,0 +1,288 @@
+//! The one reader of settings: it checks them, holds every default, names the key that is at fault and fills the
+//! module's own `Settings`. The adapter and the router both read through it.
+
+use plovercove::*;
+use simd_json::StaticNode;
+use simd_json::prelude::*;
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// A JSON value of the input.
+pub use simd_json::OwnedValue as Value;
+
+/// What is wrong with the input, and where.
+#[derive(Debug)]
+pub struct Fault(String);
+
+impl Fault {
+    /// A complaint in these words.
+    pub fn new(text: impl Into<String>) -> Self {
+        Fault(text.into())
+    }
+
+    /// The same complaint, with the place it belongs to in front.
+    pub fn within(self, place: &str) -> Self {
+        Fault(format!("{place}: {}", self.0))
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        to.write_str(&self.0)
+    }
+}
+
+/// What was read, or what is wrong with it.
+pub type Read<T> = Result<T, Fault>;
+
+/// Settings for the module, and what only the translation needs.
+pub struct Spawned {
+    /// The module's own settings.
+    pub settings: Settings,
+    /// The moment from which the simulator counts positions.
+    pub zero: u64,
+    /// The columns of a report.
+    pub report: Vec<String>,
+}
+
+/// The numbers that the settings give to the names of classes and tenants.
+pub struct Names {
+    classes: BTreeMap<String, usize>,
+    tenants: BTreeMap<String, usize>,
+}
+
+impl Names {
+    /// The names in these settings.
+    pub fn of(settings: &Settings) -> Self {
+        let classes = settings.classes.iter().map(|c| c.name.clone());
+        let tenants = settings.tenants.iter().map(|t| t.name.clone());
+        Names { classes: classes.zip(0..).collect(), tenants: tenants.zip(0..).collect() }
+    }
+
+    /// A class by its name.
+    pub fn class(&self, name: &str) -> Option<usize> {
+        self.classes.get(name).copied()
+    }
+
+    /// A tenant by its name.
+    pub fn tenant(&self, name: &str) -> Option<usize> {
+        self.tenants.get(name).copied()
+    }
+}
+
+/// Reads one JSON value.
+pub fn parse(mut json: Vec<u8>) -> Read<Value> {
+    simd_json::to_owned_value(&mut json).map_err(|e| Fault(format!("not JSON: {e}")))
+}
+
+/// The complaint about a value of the wrong kind.
+pub fn bad(what: &str, want: &str, got: &Value) -> Fault {
+    let mut shown: String = got.encode();
+    if shown.chars().count() > 60 {
+        shown = shown.chars().take(60).collect::<String>() + "...";
+    }
+    Fault(format!("{what}: expected {want}, got {shown}"))
+}
+
+/// A whole number that is not negative.
+pub fn whole(value: &Value, what: &str) -> Read<u64> {
+    let as_float =
+        || value.as_f64().filter(|f| f.fract() == 0.0 && (0.0..1.8e19).contains(f)).map(|f| f as u64);
+    value.as_u64().or_else(as_float).ok_or_else(|| bad(what, "a whole number", value))
+}
+
+/// Any number.
+pub fn number(value: &Value, what: &str) -> Read<f64> {
+    value.cast_f64().ok_or_else(|| bad(what, "a number", value))
+}
+
+/// A text.
+pub fn text<'a>(value: &'a Value, what: &str) -> Read<&'a str> {
+    value.as_str().ok_or_else(|| bad(what, "text", value))
+}
+
+/// True or false.
+pub fn flag(value: &Value, what: &str) -> Read<bool> {
+    value.as_bool().ok_or_else(|| bad(what, "true or false", value))
+}
+
+/// A list.
+pub fn list<'a>(value: &'a Value, what: &str) -> Read<&'a Vec<Value>> {
+    value.as_array().ok_or_else(|| bad(what, "a list", value))
+}
+
+/// A part of the settings, with the path to it for complaints.
+pub struct Part<'a> {
+    value: &'a Value,
+    path: String,
+}
+
+impl<'a> Part<'a> {
+    /// A value whose path starts so.
+    pub fn new(value: &'a Value, path: impl Into<String>) -> Self {
+        Part { value, path: path.into() }
+    }
+
+    /// A part of this part, which must be an object.
+    pub fn sub(&self, key: &str) -> Read<Part<'a>> {
+        let path = format!("{}{key}", self.path);
+        match self.value.get(key) {
+            Some(value) if value.is_object() => Ok(Part { value, path: path + "." }),
+            Some(value) => Err(bad(&path, "an object", value)),
+            None => Err(Fault(format!("{path} is missing"))),
+        }
+    }
+
+    /// A value that must be there.
+    pub fn get<T>(&self, key: &str, as_kind: impl Fn(&'a Value, &str) -> Read<T>) -> Read<T> {
+        let path = format!("{}{key}", self.path);
+        as_kind(self.value.get(key).ok_or_else(|| Fault(format!("{path} is missing")))?, &path)
+    }
+
+    /// A value that may be null or left out.
+    pub fn maybe<T>(&self, key: &str, as_kind: impl Fn(&'a Value, &str) -> Read<T>) -> Read<Option<T>> {
+        match self.value.get(key) {
+            None | Some(Value::Static(StaticNode::Null)) => Ok(None),
+            Some(value) => as_kind(value, &format!("{}{key}", self.path)).map(Some),
+        }
+    }
+
+    /// One of some words.
+    pub fn word<T: Clone>(&self, key: &str, words: &[(&str, T)]) -> Read<T> {
+        let got = self.get(key, text)?;
+        let found = words.iter().find(|(word, _)| *word == got).map(|(_, meaning)| meaning.clone());
+        found.ok_or_else(|| Fault(format!("{}{key}: {got:?} is unknown", self.path)))
+    }
+}
+
+/// Reads the settings, whose keys are named from this path on.
+pub fn settings(facts: &Value, path: &str) -> Read<Spawned> {
+    let top = Part::new(facts, path);
+    let (info, limits, rules) = (top.sub("FamilyInfo")?, top.sub("Limits")?, top.sub("Rules")?);
+    let report = top.sub("Report")?;
+    let prices = top.sub("Prices").ok();
+    let price = |key: &str| -> Read<f64> {
+        Ok(prices.as_ref().map(|p| p.maybe(key, number)).transpose()?.flatten().unwrap_or(0.0))
+    };
+    let yes = |part: &Part<'_>, key: &str| -> Read<bool> { Ok(part.maybe(key, flag)?.unwrap_or(false)) };
+    let holds = info.maybe("HoldsFor", whole)?.unwrap_or(0);
+    let reads = info.get("ClassRead", list)?;
+    let bounds = info.maybe("MaxAge", list)?;
+    let classes = top.get("Profiles", list)?.iter().enumerate().map(|(place, value)| {
+        let part = Part::new(value, format!("{path}Profiles[{place}]."));
+        let bound = bounds
+            .and_then(|b| b.get(place))
+            .map(|v| whole(v, &format!("{path}FamilyInfo.MaxAge[{place}]")))
+            .transpose()?;
+        let read = reads
+            .get(place)
+            .ok_or_else(|| Fault(format!("{path}FamilyInfo.ClassRead[{place}] is missing")))?;
+        let access = match text(read, &format!("{path}FamilyInfo.ClassRead[{place}]"))? {
+            "update" => Access::Write,
+            "latest" => Access::Latest,
+            "own_writes" => Access::OwnWrites,
+            "recent" => Access::Bounded(bound.unwrap_or(0)),
+            "loose" => Access::Any,
+            other => {
+                return Err(Fault(format!("{path}FamilyInfo.ClassRead[{place}]: {other:?} is unknown")));
+            }
+        };
+        let effects = [
+            ("idempotent", Effect::Idempotent),
+            ("deduplicated", Effect::Deduplicated),
+            ("at_most_once", Effect::AtMostOnce),
+        ];
+        let scopes = [("all", RepeatScope::All), ("zone", RepeatScope::Zone), ("cell", RepeatScope::Group)];
+        Ok(Class {
+            name: part.get("Name", text)?.to_string(),
+            access,
+            aim: part.get("Aim", whole)?,
+            aim_stretch: part.maybe("AimStretch", number)?.unwrap_or(0.0),
+            deadline: part.get("Deadline", whole)?,
+            worth: part.maybe("Gain", number)?.unwrap_or(1.0),
+            late_worth: part.maybe("LateWorth", number)?.unwrap_or(0.0),
+            effect: part.word("Effect", &effects)?,
+            scope: if part.value.get("Group").is_some() {
+                part.word("Group", &scopes)?
+            } else {
+                RepeatScope::Group
+            },
+            window: part.maybe("Window", whole)?.unwrap_or(0),
+            stream: yes(&part, "Stream")?,
+        })
+    });
+    let tenants = top.maybe("Customers", list)?.into_iter().flatten().enumerate().map(|(place, value)| {
+        let part = Part::new(value, format!("{path}Customers[{place}]."));
+        Ok(Tenant {
+            name: part.get("Name", text)?.to_string(),
+            quota_per_s: part.maybe("AllowancePerS", number)?.unwrap_or(0.0),
+        })
+    });
+    let checks = [
+        ("silent", ReplicaCheck::None),
+        ("reject", ReplicaCheck::Refuse),
+        ("hold", ReplicaCheck::Wait(holds)),
+    ];
+    let roles = [("delayed", ListRole::Late), ("initial", ListRole::Initial), ("silent", ListRole::None)];
+    let sources = [
+        ("piggyback", ReportSource::Answers),
+        ("pull", ReportSource::Probes),
+        ("silent", ReportSource::None),
+    ];
+    let weights = [
+        ("silent", WeightMeaning::None),
+        ("nominal", WeightMeaning::Size),
+        ("rough", WeightMeaning::Size),
+        ("live", WeightMeaning::Live),
+    ];
+    let names = report.maybe("Names", list)?;
+    let columns = names.into_iter().flatten().map(|v| text(v, "Report.Names").map(str::to_string));
+    Ok(Spawned {
+        zero: info.maybe("BaseTime", whole)?.unwrap_or(0),
+        report: columns.collect::<Read<_>>()?,
+        settings: Settings {
+            index: top.get("SlotNo", whole)? as u32,
+            routers: top.get("Balancers", whole)? as u32,
+            zone: top.maybe("Zone", text)?.unwrap_or("").to_string(),
+            classes: classes.collect::<Read<_>>()?,
+            tenants: tenants.collect::<Read<_>>()?,
+            over_share_worth: top.maybe("OverShareWorth", number)?.unwrap_or(1.0),
+            worth_by_work: top.maybe("CountedBy", text)? == Some("work"),
+            replica_check: info.word("ServerChecks", &checks)?,
+            list_role: info.word("ShowsRole", &roles)?,
+            reports: report.word("How", &sources)?,
+            tokens_carried: info.word("SessionMarks", &[("client", true), ("router", false)])?,
+            weights: if facts.get("Weights").is_some() {
+                top.word("Weights", &weights)?
+            } else {
+                WeightMeaning::None
+            },
+            subscribe: top.word("Discovery", &[("automatic", false), ("subscribe", true)])?,
+            ask_every: rules.maybe("AskEvery", whole)?.unwrap_or(0),
+            may_probe: yes(&limits, "Probing")?,
+            may_tell_peers: yes(&limits, "Peers")?,
+            may_cancel: yes(&limits, "Cancel")?,
+            second_copies: yes(&limits, "SecondCopies")?,
+            retry_after: yes(&limits, "RetryAfter")?,
+            max_retry_after: limits.maybe("MaxRetryAfter", whole)?.unwrap_or(0),
+            max_attempts: limits.get("MaxAttempts", whole)? as u32,
+            connect_timeout: limits.maybe("DialTimeout", whole)?.unwrap_or(250_000),
+            connection_idle: limits.maybe("ConnIdle", whole)?.unwrap_or(60_000_000),
+            tick: top.get("Tick", whole)?,
+            drain_grace: rules.get("DrainGrace", whole)?,
+            dropped_stay_open: yes(&rules, "DroppedStayOpen")?,
+            answer_grace: rules.maybe("GraceToAnswer", whole)?.unwrap_or(0),
+            cold_share: rules.get("ColdShare", number)?,
+            cold_span: rules.get("Cold", whole)?,
+            overload_factor: rules.get("OverloadFactor", number)?,
+            overload_span: rules.get("OverloadFor", whole)?,
+            prices: Prices {
+                cross_zone: price("CrossZone")?,
+                waste: price("Waste")?,
+                probe: price("Probe")?,
+                peer: price("Peer")?,
+                late_fail: price("LateFail")?,
+            },
+        },
+    })
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -192,6 +192,8 @@
     pub max_retry_after: Span,
     /// Attempts allowed for one request.
     pub max_attempts: u32,
+    /// A connection that is not up after this long is given up.
+    pub connect_timeout: Span,
     /// Idle connections are closed by themselves after this long.
     pub connection_idle: Span,
     /// The shortest time between two batches.
@@ -239,6 +241,7 @@
             retry_after: false,
             max_retry_after: 0,
             max_attempts: 4,
+            connect_timeout: 250_000,
             connection_idle: 60_000_000,
             tick: 1_000,
             drain_grace: 1_000_000,
