--- /dev/null
+++ b/router/src/clock.rs
@@ -0,0 +1,64 @@
+//! The router's clock, and the one place where the times of the sockets become the module's and back.
+//!
+//! The module counts microseconds that never run backwards; sockets carry Unix milliseconds. A conversion never claims
+//! data to be fresher, or patience to be longer, than what was told.
+
+use plovercove::{Span, Time};
+use std::time::{Instant, SystemTime};
+
+/// Unix time in microseconds, read once and carried on by the monotonic clock.
+pub struct Clock {
+    start: Instant,
+    unix: Time,
+}
+
+impl Clock {
+    /// A clock that starts at the system's time.
+    pub fn new() -> Self {
+        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        Clock { start: Instant::now(), unix: unix.as_micros() as Time }
+    }
+
+    /// The time now.
+    pub fn now(&self) -> Time {
+        self.unix + self.start.elapsed().as_micros() as Time
+    }
+}
+
+/// A Unix time in milliseconds, as a moment on the clock.
+pub fn from_ms(ms: u64) -> Time {
+    ms.saturating_mul(1_000)
+}
+
+/// A Unix time in seconds, as load reports tell it, rounded down; `None` for nothing told.
+pub fn from_seconds(seconds: f64) -> Option<Time> {
+    (seconds > 0.0).then_some((seconds * 1e6).floor() as Time)
+}
+
+/// A span in milliseconds, rounded up: a wait is never told shorter than it is.
+pub fn to_ms(span: Span) -> u64 {
+    span.div_ceil(1_000)
+}
+
+/// How long ago a moment was. One in the future, from a clock that is ahead, is now: the data must be the newest.
+pub fn age(now: Time, then: Time) -> Span {
+    now.saturating_sub(then)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn conversions_never_claim_fresher_data_or_shorter_waits() {
+        assert_eq!(from_ms(1_767_225_600_123), 1_767_225_600_123_000);
+        assert_eq!(from_ms(u64::MAX), u64::MAX);
+        for ms in 1_767_225_600_000..1_767_225_601_000_u64 {
+            let told = from_seconds(ms as f64 / 1e3).expect("positive");
+            assert!(told <= from_ms(ms) && told + 1 >= from_ms(ms), "{ms} ms came back as {told} us");
+        }
+        assert_eq!((from_seconds(0.0), from_seconds(-1.0), from_seconds(f64::NAN)), (None, None, None));
+        assert_eq!((to_ms(0), to_ms(1), to_ms(1_000), to_ms(1_001)), (0, 1, 1, 2));
+        assert_eq!((age(5, 3), age(3, 5)), (2, 0));
+    }
+}
--- /dev/null
+++ b/router/src/config.rs
@@ -0,0 +1,135 @@
+//! Where the router's configuration is read, checked and given its defaults.
+
+use crate::discovery::{self, Listing};
+use plovercove::Settings;
+use plovercove_settings::{Fault, Part, Read, Value, number, parse, settings, text, whole};
+use simd_json::prelude::*;
+use std::env;
+use std::fs;
+use std::net::SocketAddr;
+
+/// Descriptors taken where no limit is told.
+const SOCKETS: u64 = 1_024;
+/// Descriptors for all but connections: standard streams, poller, listener, signals, discovery, and some spare.
+const RESERVED: u64 = 24;
+/// The least of descriptors and memory that the router can work with.
+const LEAST: (u64, f64) = (64, 32.0);
+
+/// All that a router is told at its start.
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// The agent that knows the db nodes.
+    pub discovery: SocketAddr,
+    /// The list of db nodes as it was last known.
+    pub known: Listing,
+    /// The seed of its random numbers.
+    pub seed: u64,
+    /// The most connections of clients.
+    pub clients: usize,
+    /// The most connections to db nodes.
+    pub backends: usize,
+    /// How much is logged.
+    pub log: tracing::Level,
+    /// What the module is told.
+    pub settings: Settings,
+}
+
+/// Reads the file named by `PROXY_CONFIG`; the other variables go before what it says.
+pub fn read() -> Read<Config> {
+    let path = env::var("PROXY_CONFIG").map_err(|_| Fault::new("PROXY_CONFIG is missing"))?;
+    let json = fs::read(&path).map_err(|e| Fault::new(format!("PROXY_CONFIG: cannot read {path}: {e}")))?;
+    from_json(json, |name| env::var(name).ok())
+}
+
+fn from_json(json: Vec<u8>, variable: impl Fn(&str) -> Option<String>) -> Read<Config> {
+    let value = parse(json)?;
+    if !value.is_object() {
+        return Err(plovercove_settings::bad("the configuration", "an object", &value));
+    }
+    let top = Part::new(&value, "");
+    let told = |name: &str, key: &str| match variable(name) {
+        Some(given) => Ok((given, name.to_string())),
+        None => Ok((top.get(key, text)?.to_string(), key.to_string())),
+    };
+    let address = |name: &str, key: &str| {
+        let (given, from) = told(name, key)?;
+        given
+            .parse::<SocketAddr>()
+            .map_err(|_| Fault::new(format!("{from}: expected an address and port, got {given:?}")))
+    };
+    let limits = top.sub("limits").ok();
+    let limit = |key: &str| limits.as_ref().map(|l| l.maybe(key, number)).transpose().map(Option::flatten);
+    let sockets = limit("sockets")?.map_or(SOCKETS, |n| n as u64);
+    if sockets < LEAST.0 {
+        return Err(Fault::new(format!("limits.sockets: expected at least {}, got {sockets}", LEAST.0)));
+    }
+    if let Some(memory) = limit("memory_mb")?.filter(|mb| *mb < LEAST.1) {
+        return Err(Fault::new(format!("limits.memory_mb: expected at least {}, got {memory}", LEAST.1)));
+    }
+    let clients = (sockets - RESERVED) / 2;
+    Ok(Config {
+        name: told("PROXY_NAME", "name")?.0,
+        listen: address("PROXY_LISTEN", "listen")?,
+        discovery: address("PROXY_DISCOVERY", "discovery")?,
+        known: top.maybe("known", |v, what| discovery::listing(v, &format!("{what}.")))?.unwrap_or_default(),
+        seed: top.maybe("seed", seed)?.unwrap_or(1),
+        clients: clients as usize,
+        backends: (sockets - RESERVED - clients) as usize,
+        log: match variable("PROXY_LOG") {
+            Some(word) => word.parse().map_err(|_| {
+                Fault::new(format!("PROXY_LOG: expected error, warn, info, debug or trace, got {word:?}"))
+            })?,
+            None => tracing::Level::INFO,
+        },
+        settings: settings(top.get("settings", |v, _| Ok(v))?, "settings.")?.settings,
+    })
+}
+
+fn seed(value: &Value, what: &str) -> Read<u64> {
+    let hex = value.as_str().and_then(|digits| u64::from_str_radix(digits, 16).ok());
+    hex.map_or_else(|| whole(value, what), Ok)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = r#"{"name":"n1","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f30d27a5be964",
+        "limits":{"memory_mb":192,"sockets":1024},"known":{"index":4,"snapshot":true,"endpoints":[]},"settings":{
+        "Balancers":1,"Discovery":"automatic","FamilyInfo":{"ClassRead":["loose"],"ServerChecks":"reject",
+        "ShowsRole":"silent","SessionMarks":"client"},"Limits":{"MaxAttempts":3},"Profiles":[{"Name":"a","Aim":100000,
+        "Deadline":500000,"Effect":"idempotent"}],"Report":{"How":"silent"},"Rules":{"Cold":1,"ColdShare":0.2,
+        "DrainGrace":1,"OverloadFactor":2,"OverloadFor":1000000},"SlotNo":0,"Tick":5000}}"#;
+
+    #[test]
+    fn what_is_wrong_is_named_by_its_key() {
+        for (from, to, complaint) in [
+            ("{\"name\"", "[\"name\"", "not JSON"),
+            ("127.0.0.1:1", "here", "listen: expected an address and port, got \"here\""),
+            ("\"name\":\"n1\"", "\"name\":7", "name: expected text, got 7"),
+            ("1024", "10", "limits.sockets: expected at least 64"),
+            ("\"sockets\":1024", "\"sockets\":\"x\"", "limits.sockets: expected a number"),
+            (
+                "\"endpoints\":[]",
+                "\"endpoints\":[{\"status\":3}]",
+                "known.endpoints[0].status: expected text, got 3",
+            ),
+            ("\"Tick\":5000", "\"Tick\":true", "settings.Tick: expected a whole number, got true"),
+            ("\"MaxAttempts\":3", "", "settings.Limits.MaxAttempts is missing"),
+        ] {
+            let said = from_json(GOOD.replace(from, to).into_bytes(), |_| None).err().expect(complaint);
+            assert!(said.to_string().contains(complaint), "{said}");
+        }
+    }
+
+    #[test]
+    fn variables_go_before_the_file() {
+        let given = |name: &str| (name == "PROXY_LISTEN").then(|| "127.0.0.9:9".to_string());
+        let config = from_json(GOOD.as_bytes().to_vec(), given).unwrap_or_else(|e| panic!("{e}"));
+        assert_eq!((config.listen.to_string().as_str(), config.name.as_str()), ("127.0.0.9:9", "n1"));
+        assert_eq!((config.seed, config.clients, config.backends), (0x8c1f_30d2_7a5b_e964, 500, 500));
+    }
+}
--- /dev/null
+++ b/router/src/core.rs
@@ -0,0 +1,287 @@
+//! Turns requests, outcomes and list changes into the module's events, and the module's actions into commands.
+//!
+//! It knows no protocol: a front hands it requests and carries out their answers, an upstream carries out attempts and
+//! reports how they end. Here the table of requests, their attempts and the deadlines are kept, and here the rules that
+//! do not depend on a decision are held: one final answer each, no refusal of what may have run, no send once over.
+
+use crate::deadlines::{Deadlines, Due};
+use crate::table::{Key, Table};
+use plovercove::*;
+use std::collections::BTreeSet;
+use tracing::{debug, info, warn};
+
+/// What may pass in a client's and our own buffers before a request is counted: its patience runs from its sending.
+const IN_BUFFERS: Span = 5_000;
+
+/// One attempt of one request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptId {
+    /// The request.
+    pub request: Key,
+    /// The attempt, counted from 0.
+    pub number: u32,
+}
+
+/// What the module decided, to be carried out in this order.
+#[derive(Debug)]
+pub enum Command {
+    /// Start an attempt for a request of this client.
+    Send { attempt: AttemptId, origin: Key, node: NodeId },
+    /// Stop an attempt: its answer must reach nobody.
+    GiveUp { attempt: AttemptId, node: NodeId },
+    /// Ask a node for its report.
+    Probe(NodeId),
+    /// Close the idle connections to a node.
+    CloseIdle(NodeId),
+    /// Give a request its final answer.
+    Answer { request: Key, origin: Key, answer: Answer },
+}
+
+/// A final answer that no node made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// Trying again is harmless, after this long where told.
+    Refused(Option<Span>),
+    /// Nothing is promised.
+    Failed,
+}
+
+struct Attempt {
+    node: NodeId,
+    sent: Time,
+    until: Time,
+    /// Its last byte has been written: from then on it may have run.
+    written: bool,
+    out: bool,
+}
+
+struct Request {
+    origin: Key,
+    unsafe_to_repeat: bool,
+    /// Its final answer is still owed.
+    open: bool,
+    /// Some attempt may have run.
+    may_have_run: bool,
+    attempts: Vec<Attempt>,
+}
+
+/// The decisions, and the books that they are carried out by.
+pub struct Core {
+    balancer: Balancer,
+    classes: Vec<Class>,
+    requests: Table<Request>,
+    groups: BTreeSet<GroupId>,
+    events: Vec<Event>,
+    actions: Vec<Action>,
+    commands: Vec<Command>,
+    /// All deadlines of the router.
+    pub deadlines: Deadlines,
+}
+
+impl Core {
+    /// A core without requests.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        Core {
+            classes: settings.classes.clone(),
+            balancer: Balancer::new(settings, seed),
+            requests: Table::new(),
+            groups: BTreeSet::new(),
+            events: Vec::new(),
+            actions: Vec::new(),
+            commands: Vec::new(),
+            deadlines: Deadlines::default(),
+        }
+    }
+
+    /// How many requests are owed an answer or have an attempt out.
+    pub fn held(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// The classes, by number.
+    pub fn classes(&self) -> &[Class] {
+        &self.classes
+    }
+
+    /// Whether the list has ever named a member of this group.
+    pub fn knows_group(&self, group: GroupId) -> bool {
+        self.groups.contains(&group)
+    }
+
+    /// Discovery told something.
+    pub fn list(&mut self, update: ListUpdate) {
+        if let ListUpdate::Changes(all) | ListUpdate::Full(all) | ListUpdate::Restored(all) = &update {
+            self.groups.extend(all.iter().map(|entry| entry.group));
+        }
+        self.events.push(Event::List(update));
+    }
+
+    /// Takes a request on. It is owed one final answer, through `Command::Answer` or `ended`.
+    pub fn request(&mut self, origin: Key, mut demand: Demand) -> Key {
+        let unsafe_to_repeat = self.classes[demand.class].effect == Effect::AtMostOnce;
+        let Ok(key) = self.requests.insert_with(|_| {
+            let attempts = Vec::new();
+            Ok::<_, std::convert::Infallible>(Request {
+                origin,
+                unsafe_to_repeat,
+                open: true,
+                may_have_run: false,
+                attempts,
+            })
+        });
+        demand.id = key.number();
+        demand.left = demand.left.saturating_sub(IN_BUFFERS);
+        self.events.push(Event::Request(demand));
+        key
+    }
+
+    /// The client has gone; nothing is owed any more.
+    pub fn gone(&mut self, request: Key) {
+        if self.requests.get_mut(request).is_some_and(|r| std::mem::take(&mut r.open)) {
+            self.events.push(Event::Abandoned { request: request.number() });
+            self.forget(request);
+        }
+    }
+
+    /// The last byte of an attempt has been written: from here on it may have run.
+    pub fn written(&mut self, id: AttemptId) {
+        if let Some(r) = self.requests.get_mut(id.request) {
+            r.attempts[id.number as usize].written = true;
+        }
+    }
+
+    /// Whether an attempt that waited for its connection may still go out: the list and the age of the node's data
+    /// count at the moment when bytes leave, not at that of the decision.
+    pub fn still_fits(&self, id: AttemptId, now: Time) -> bool {
+        let attempt = self.requests.get(id.request).and_then(|r| r.attempts.get(id.number as usize));
+        attempt.is_some_and(|a| self.balancer.still_fits(now, id.request.number(), &a.node))
+    }
+
+    /// How long an attempt will be waited for from now on.
+    pub fn patience(&self, id: AttemptId, now: Time) -> Span {
+        let attempt = self.requests.get(id.request).and_then(|r| r.attempts.get(id.number as usize));
+        attempt.map_or(0, |a| a.until.saturating_sub(now))
+    }
+
+    /// An attempt ended. Returns the client that its answer is to be passed on to, if it is the final one.
+    pub fn ended(
+        &mut self, now: Time, id: AttemptId, ending: Ending, note: Standing, report: Standing,
+    ) -> Option<Key> {
+        let r = self.requests.get_mut(id.request)?;
+        let attempt = r.attempts.get_mut(id.number as usize).filter(|a| a.out)?;
+        attempt.out = false;
+        let elapsed = now.saturating_sub(attempt.sent);
+        self.deadlines.remove(attempt.until, Due::Attempt(id));
+        let never =
+            matches!(ending, Ending::Overloaded | Ending::Unreachable | Ending::Void | Ending::Missed);
+        r.may_have_run |= !never;
+        debug!(request = id.request.number(), attempt = id.number, node = %attempt.node, ?ending, elapsed, "ended");
+        let served = ending == Ending::Success && std::mem::take(&mut r.open);
+        let (over, origin) = (!r.open, r.origin);
+        let (request, attempt) = (id.request.number(), id.number);
+        self.events.push(Event::Outcome { request, attempt, ending, elapsed, over, note, report });
+        self.forget(id.request);
+        served.then_some(origin)
+    }
+
+    /// A probe ended.
+    pub fn probed(&mut self, node: NodeId, answer: Option<Standing>) {
+        let (answered, report) = (answer.is_some(), answer.unwrap_or_default());
+        self.events.push(Event::Probed { node, answered, report });
+    }
+
+    /// A deadline of the module or of an attempt fell due.
+    pub fn wake(&mut self) {
+        self.events.push(Event::Timer);
+    }
+
+    /// An attempt was waited for long enough.
+    pub fn timed_out(&mut self, id: AttemptId, now: Time) {
+        self.stop(id, now, Ending::TimedOut, Ending::Unreachable);
+    }
+
+    /// An attempt that can't be carried out: its client has gone in this very turn.
+    pub fn unsent(&mut self, id: AttemptId, now: Time) {
+        self.ended(now, id, Ending::Void, Standing::default(), Standing::default());
+    }
+
+    /// Whether something has come that the module has not been told.
+    pub fn has_news(&self) -> bool {
+        !self.events.is_empty() || !self.commands.is_empty()
+    }
+
+    /// Ends an attempt from this side: what has not been written whole never ran.
+    fn stop(&mut self, id: AttemptId, now: Time, written: Ending, unwritten: Ending) {
+        let attempt = self.requests.get(id.request).and_then(|r| r.attempts.get(id.number as usize));
+        let Some(attempt) = attempt.filter(|a| a.out) else { return };
+        let ending = if attempt.written { written } else { unwritten };
+        self.commands.push(Command::GiveUp { attempt: id, node: attempt.node.clone() });
+        self.ended(now, id, ending, Standing::default(), Standing::default());
+    }
+
+    /// Lets the module decide on what has come since the last time; nothing where nothing has come.
+    pub fn decide(&mut self, now: Time) -> Vec<Command> {
+        if !self.events.is_empty() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.balancer.handle(now, std::mem::take(&mut self.events), &mut actions);
+            for action in actions.drain(..) {
+                self.act(action, now);
+            }
+            self.actions = actions;
+        }
+        std::mem::take(&mut self.commands)
+    }
+
+    fn act(&mut self, action: Action, now: Time) {
+        match action {
+            Action::Send { request, node, timeout } => {
+                self.send(Key::from_number(request), node, now, timeout)
+            }
+            Action::Cancel { request, attempt } => {
+                let id = AttemptId { request: Key::from_number(request), number: attempt };
+                self.stop(id, now, Ending::Cancelled, Ending::Void);
+            }
+            Action::Refuse { request, retry_after } => {
+                self.answer(Key::from_number(request), Answer::Refused(retry_after));
+            }
+            Action::Fail { request } => self.answer(Key::from_number(request), Answer::Failed),
+            Action::Wake(after) => self.deadlines.add(now + after, Due::Wake),
+            Action::Probe(node) => self.commands.push(Command::Probe(node)),
+            Action::Close(node) => self.commands.push(Command::CloseIdle(node)),
+            Action::Log(line) => info!("{line}"),
+            // The watch is always on, and routers have no way to talk to each other.
+            Action::Subscribe | Action::Tell { .. } => {}
+        }
+    }
+
+    fn send(&mut self, request: Key, node: NodeId, now: Time, timeout: Span) {
+        let Some(r) = self.requests.get_mut(request).filter(|r| r.open) else { return };
+        let attempt = AttemptId { request, number: r.attempts.len() as u32 };
+        let until = now + timeout;
+        r.attempts.push(Attempt { node: node.clone(), sent: now, until, written: false, out: true });
+        self.deadlines.add(until, Due::Attempt(attempt));
+        self.commands.push(Command::Send { attempt, origin: r.origin, node });
+    }
+
+    fn answer(&mut self, request: Key, answer: Answer) {
+        let Some(r) = self.requests.get_mut(request).filter(|r| r.open) else { return };
+        r.open = false;
+        // The last guard of the rule on refusals: what may have run, and must not run twice, is never called harmless.
+        let risky = r.unsafe_to_repeat && (r.may_have_run || r.attempts.iter().any(|a| a.out && a.written));
+        let answer = if risky && answer != Answer::Failed {
+            warn!(request = request.number(), "a refusal was turned into a failure: the write may have run");
+            Answer::Failed
+        } else {
+            answer
+        };
+        self.commands.push(Command::Answer { request, origin: r.origin, answer });
+        self.forget(request);
+    }
+
+    /// Gives a request's slot back once nothing is owed and no attempt is out.
+    fn forget(&mut self, request: Key) {
+        if self.requests.get(request).is_some_and(|r| !r.open && r.attempts.iter().all(|a| !a.out)) {
+            self.requests.remove(request);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/discovery.rs
@@ -0,0 +1,264 @@
+//! Discovery: the list of db nodes, watched over HTTP at the agent on this machine.
+//!
+//! A watch goes on as long as each call follows the last answer within 200 ms, so the next call is written in the turn in
+//! which an answer was read. An agent that is silent or refuses leaves the list as it is.
+
+use crate::clock;
+use crate::core::Core;
+use crate::deadlines::Due;
+use crate::net::stream::{Peer, Stream};
+use crate::net::{Part as Place, begin_connect, poll_key};
+use plovercove::{Listed, NodeEntry, Time};
+use plovercove_poller::{Interest, Poll};
+use plovercove_settings::{Fault, Part, Read, Value, flag, list, number, parse, text, whole};
+use std::io;
+use std::net::SocketAddr;
+use tracing::{debug, info, warn};
+
+/// How long a watch waits for news at the agent.
+const WATCH_MS: u64 = 20_000;
+/// How much longer than it should take an answer is waited for.
+const PATIENCE: Time = 2_000_000;
+/// The pause after a failed call.
+const PAUSE: Time = 100_000;
+/// The longest answer.
+const LONGEST: usize = 8 * 1024 * 1024;
+
+/// A list, or the changes to one.
+#[derive(Clone, Debug, Default)]
+pub struct Listing {
+    /// Its version.
+    pub index: u64,
+    /// Whether it is the whole list.
+    pub whole: bool,
+    /// Its entries, with the addresses they are reached at.
+    pub entries: Vec<(NodeEntry, Option<SocketAddr>)>,
+}
+
+/// Reads a list; complaints name its keys from this path on.
+pub fn listing(value: &Value, path: &str) -> Read<Listing> {
+    let top = Part::new(value, path);
+    let entries = top.get("endpoints", list)?.iter().enumerate();
+    let entries =
+        entries.map(|(place, value)| entry(&Part::new(value, format!("{path}endpoints[{place}]."))));
+    Ok(Listing {
+        index: top.get("index", whole)?,
+        whole: top.get("snapshot", flag)?,
+        entries: entries.collect::<Read<_>>()?,
+    })
+}
+
+fn entry(part: &Part<'_>) -> Read<(NodeEntry, Option<SocketAddr>)> {
+    let states = [("active", Listed::Serving), ("leaving", Listed::Draining), ("left", Listed::Gone)];
+    let state = part.word("status", &states)?;
+    let address = part.maybe("address", |value, what| {
+        let given = text(value, what)?;
+        given.parse().map_err(|_| Fault::new(format!("{what}: expected an address and port, got {given:?}")))
+    });
+    let address = if state == Listed::Gone { address.unwrap_or(None) } else { address? };
+    let started = part.maybe("since_ms", whole)?.filter(|ms| *ms > 0).map(clock::from_ms);
+    let entry = NodeEntry {
+        node: part.get("name", text)?.into(),
+        zone: part.maybe("zone", text)?.unwrap_or("").to_string(),
+        kind: part.maybe("type", text)?.unwrap_or("").to_string(),
+        primary: part.maybe("replication", text)? == Some("primary"),
+        group: part.maybe("group", whole)?.unwrap_or(0),
+        state,
+        weight: part.maybe("weight", number)?.unwrap_or(1.0),
+        started,
+    };
+    Ok((entry, address))
+}
+
+/// The watch on the agent.
+pub struct Discovery {
+    poll: Poll,
+    agent: SocketAddr,
+    stream: Option<Stream>,
+    /// The version that the next call asks for news of; none: it asks for the whole list.
+    index: Option<u64>,
+    deadline: Option<Time>,
+    failing: bool,
+}
+
+impl Discovery {
+    /// A watch that has not begun.
+    pub fn new(poll: &Poll, agent: SocketAddr) -> Self {
+        Discovery { poll: poll.clone(), agent, stream: None, index: None, deadline: None, failing: false }
+    }
+
+    /// Makes the first call.
+    pub fn start(&mut self, now: Time, core: &mut Core) {
+        self.call(now, core);
+    }
+
+    fn set_deadline(&mut self, at: Time, core: &mut Core) {
+        core.deadlines.set(&mut self.deadline, Due::Discovery, Some(at));
+    }
+
+    fn connect(&self) -> io::Result<Stream> {
+        let socket = begin_connect(self.agent)?;
+        Stream::new(&self.poll, socket, poll_key(Place::Discovery, None), Interest::Write, LONGEST)
+    }
+
+    fn call(&mut self, now: Time, core: &mut Core) {
+        if self.stream.is_none() {
+            match self.connect() {
+                Ok(stream) => self.stream = Some(stream),
+                Err(e) => return self.failed(&e.to_string(), now, core),
+            }
+        }
+        let Some(stream) = &mut self.stream else { return };
+        let (path, wait) = match self.index {
+            Some(index) => (format!("/api/targets?after={index}&wait_ms={WATCH_MS}"), WATCH_MS),
+            None => ("/api/targets".to_string(), 0),
+        };
+        let request =
+            format!("GET {path} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", self.agent);
+        stream.output().extend_from_slice(request.as_bytes());
+        self.set_deadline(now + clock::from_ms(wait) + PATIENCE, core);
+        if let Some(stream) = self.stream.as_mut().filter(|s| s.connected()) {
+            // What can't be written yet goes once there is room.
+            if stream.flush().is_ok() {
+                stream.wait_for(true);
+            }
+        }
+    }
+
+    /// The call failed: the list stays, and the next call asks for the whole of it.
+    fn failed(&mut self, cause: &str, now: Time, core: &mut Core) {
+        if !std::mem::replace(&mut self.failing, true) {
+            warn!("discovery: {cause}; the list stays as it is");
+        }
+        self.stream = None;
+        self.index = None;
+        self.set_deadline(now + PAUSE, core);
+    }
+
+    /// Its deadline is over: a pause, or an answer that has not come.
+    pub fn due(&mut self, now: Time, core: &mut Core) {
+        self.deadline = None;
+        if self.stream.is_some() {
+            self.failed("no answer", now, core);
+        } else {
+            self.call(now, core);
+        }
+    }
+
+    /// The poller has something to say of the connection. Returns the answers that have come.
+    pub fn event(&mut self, now: Time, core: &mut Core) -> Vec<Listing> {
+        let mut found = Vec::new();
+        let Some(stream) = &mut self.stream else { return found };
+        if !stream.connected() || stream.flush().is_err() {
+            self.failed("the agent refuses the connection", now, core);
+            return found;
+        }
+        stream.wait_for(true);
+        let peer = stream.fill();
+        loop {
+            let Some(stream) = &mut self.stream else { return found };
+            match answer(stream.unread(), peer == Peer::Gone) {
+                Ok(None) => break,
+                Ok(Some((body, length))) => {
+                    stream.take(length);
+                    match parse(body).and_then(|value| listing(&value, "")) {
+                        Ok(listing) => {
+                            if std::mem::take(&mut self.failing) {
+                                info!("discovery answers again");
+                            }
+                            debug!(index = listing.index, entries = listing.entries.len(), "list");
+                            self.index = Some(listing.index);
+                            found.push(listing);
+                            if peer == Peer::Gone {
+                                self.stream = None;
+                            }
+                            self.call(now, core);
+                        }
+                        Err(fault) => self.failed(&fault.to_string(), now, core),
+                    }
+                }
+                Err(cause) => self.failed(&cause, now, core),
+            }
+            if peer == Peer::Gone {
+                return found;
+            }
+        }
+        if peer == Peer::Gone {
+            self.failed("the agent closed the connection", now, core);
+        }
+        found
+    }
+}
+
+/// The body of the answer at the front of some bytes and the length of it all, if it is whole.
+fn answer(bytes: &[u8], ended: bool) -> Result<Option<(Vec<u8>, usize)>, String> {
+    let mut headers = [httparse::EMPTY_HEADER; 64];
+    let mut response = httparse::Response::new(&mut headers);
+    let head = match response.parse(bytes).map_err(|e| format!("not HTTP: {e}"))? {
+        httparse::Status::Complete(length) => length,
+        httparse::Status::Partial => return Ok(None),
+    };
+    let status = response.code.unwrap_or(0);
+    if status != 200 {
+        return Err(format!("the agent answered with status {status}"));
+    }
+    let header = |name: &str| {
+        let found = response.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name));
+        found.and_then(|h| std::str::from_utf8(h.value).ok()).map(str::trim)
+    };
+    if header("transfer-encoding").is_some_and(|how| how.eq_ignore_ascii_case("chunked")) {
+        return chunked(bytes, head);
+    }
+    let end = match header("content-length") {
+        Some(told) => {
+            let length = told.parse::<usize>().ok().filter(|n| *n <= LONGEST);
+            head + length.ok_or_else(|| format!("the agent tells a length of {told:?}"))?
+        }
+        None if ended => bytes.len(),
+        None => return Ok(None),
+    };
+    Ok(bytes.get(head..end).map(|body| (body.to_vec(), end)))
+}
+
+fn chunked(bytes: &[u8], head: usize) -> Result<Option<(Vec<u8>, usize)>, String> {
+    let (mut at, mut body) = (head, Vec::new());
+    loop {
+        let rest = bytes.get(at..).unwrap_or(&[]);
+        let size = httparse::parse_chunk_size(rest).map_err(|_| "a chunk without a size".to_string())?;
+        let httparse::Status::Complete((line, size)) = size else { return Ok(None) };
+        let size = usize::try_from(size).ok().filter(|n| *n <= LONGEST).ok_or("a chunk that is too long")?;
+        let Some(chunk) = rest.get(line..line + size) else { return Ok(None) };
+        if rest.len() < line + size + 2 {
+            return Ok(None);
+        }
+        body.extend_from_slice(chunk);
+        at += line + size + 2;
+        if size == 0 {
+            return Ok(Some((body, at)));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn answers_are_taken_whole_in_every_form() {
+        let whole = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n{  }HTTP";
+        assert_eq!(answer(whole, false), Ok(Some((b"{  }".to_vec(), whole.len() - 4))));
+        for end in 0..whole.len() - 4 {
+            assert_eq!(answer(&whole[..end], false), Ok(None));
+        }
+        let pieces = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n{\r\n2\r\n }\r\n0\r\n\r\n";
+        assert_eq!(answer(pieces, false), Ok(Some((b"{ }".to_vec(), pieces.len()))));
+        assert_eq!(answer(&pieces[..pieces.len() - 3], false), Ok(None));
+        let open = b"HTTP/1.1 200 OK\r\n\r\n{}";
+        assert_eq!(
+            (answer(open, false), answer(open, true)),
+            (Ok(None), Ok(Some((b"{}".to_vec(), open.len()))))
+        );
+        assert!(answer(b"HTTP/1.1 503 No\r\n\r\n", false).is_err_and(|e| e.contains("503")));
+        assert!(answer(b"nonsense\r\n", false).is_err());
+    }
+}
--- /dev/null
+++ b/router/src/main.rs
@@ -0,0 +1,38 @@
+//! plovercove, the router: PostgreSQL clients in front, groups of replicated db nodes behind, and in between the
+//! decision module. `net` holds the loop; `core` turns what comes into the module's events and its actions into commands.
+
+mod clock;
+mod config;
+mod core;
+mod deadlines;
+mod discovery;
+mod front;
+mod net;
+mod pgwire;
+mod table;
+mod upstream;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let config = match config::read() {
+        Ok(config) => config,
+        Err(fault) => {
+            eprintln!("plovercove: {fault}");
+            return ExitCode::FAILURE;
+        }
+    };
+    tracing_subscriber::fmt()
+        .with_writer(std::io::stderr)
+        .with_ansi(false)
+        .with_target(false)
+        .with_max_level(config.log)
+        .init();
+    match net::Router::new(config).and_then(net::Router::run) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            tracing::error!("cannot go on: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/router/src/net/mod.rs
@@ -0,0 +1,240 @@
+//! The one loop: it waits on the poller, hands what has come to the parts, lets the module decide, and carries that out.
+
+pub mod stream;
+
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::core::{Command, Core};
+use crate::deadlines::Due;
+use crate::discovery::{Discovery, Listing};
+use crate::front::pg::Front;
+use crate::table::Key;
+use crate::upstream::pg::Upstream;
+use plovercove::{ListUpdate, Listed, Time};
+use plovercove_poller::{Events, Interest, Poll, Registered};
+use plovercove_settings::Names;
+use socket2::{Domain, Socket, Type};
+use std::io::{self, ErrorKind};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::net::UnixStream;
+use std::time::Duration;
+use tracing::{debug, info};
+
+/// After SIGTERM new connections are taken in for so long.
+const STILL_ACCEPTING: Time = 500_000;
+/// Rounds of decisions in one turn: what a connection tells at once may bring on the next decision.
+const ROUNDS: u32 = 16;
+
+/// Whom an event of the poller is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// The listener.
+    Listener = 1,
+    /// A signal that has come.
+    Signal = 2,
+    /// The agent's connection.
+    Discovery = 3,
+    /// A client.
+    Client = 4,
+    /// A connection to a db node.
+    Backend = 5,
+}
+
+const PART_SHIFT: u32 = 56;
+
+/// The number under which a socket hangs on the poller.
+pub fn poll_key(part: Part, key: Option<Key>) -> usize {
+    (part as usize) << PART_SHIFT | key.map_or(0, |k| k.number() as usize)
+}
+
+fn split(number: usize) -> (Option<Part>, Key) {
+    let parts = [Part::Listener, Part::Signal, Part::Discovery, Part::Client, Part::Backend];
+    let part = parts.into_iter().find(|p| *p as usize == number >> PART_SHIFT);
+    (part, Key::from_number(number as u64 & ((1 << PART_SHIFT) - 1)))
+}
+
+/// Begins a connection that does not block; the poller tells when it is up.
+pub fn begin_connect(address: SocketAddr) -> io::Result<TcpStream> {
+    const EINPROGRESS: i32 = 115;
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_nonblocking(true)?;
+    match socket.connect(&address.into()) {
+        Err(e) if e.raw_os_error() != Some(EINPROGRESS) => Err(e),
+        _ => Ok(socket.into()),
+    }
+}
+
+/// The router: its parts and the loop round them.
+pub struct Router {
+    clock: Clock,
+    poll: Poll,
+    signal: Registered<UnixStream>,
+    core: Core,
+    front: Front,
+    upstream: Upstream,
+    discovery: Discovery,
+    stopping: bool,
+}
+
+impl Router {
+    /// A router that listens, and knows the list that it was given.
+    pub fn new(config: Config) -> io::Result<Self> {
+        let poll = Poll::new()?;
+        let (ours, theirs) = UnixStream::pair()?;
+        ours.set_nonblocking(true)?;
+        signal_hook::low_level::pipe::register(signal_hook::consts::SIGTERM, theirs)?;
+        let signal = poll.register(ours, poll_key(Part::Signal, None), Interest::Read)?;
+        let listener = TcpListener::bind(config.listen)?;
+        let settings = config.settings;
+        let mut router = Router {
+            clock: Clock::new(),
+            signal,
+            front: Front::new(&poll, listener, config.clients, Names::of(&settings))?,
+            upstream: Upstream::new(
+                &poll,
+                config.backends,
+                settings.connect_timeout,
+                settings.connection_idle,
+            ),
+            discovery: Discovery::new(&poll, config.discovery),
+            core: Core::new(settings, config.seed),
+            poll,
+            stopping: false,
+        };
+        router.list(config.known, true);
+        info!(name = config.name, listen = %config.listen, "serving");
+        Ok(router)
+    }
+
+    /// Runs until the way out after SIGTERM has been gone to its end.
+    pub fn run(mut self) -> io::Result<()> {
+        let mut events = Events::new();
+        let now = self.clock.now();
+        self.discovery.start(now, &mut self.core);
+        let mut at_once = self.decide(now);
+        while !(self.stopping && self.front.len() == 0) {
+            let now = self.clock.now();
+            let next = self.core.deadlines.next().map(|at| Duration::from_micros(at.saturating_sub(now)));
+            let timeout = if at_once { Some(Duration::ZERO) } else { next };
+            match self.poll.wait(&mut events, timeout) {
+                Err(e) if e.kind() != ErrorKind::Interrupted => return Err(e),
+                _ => {}
+            }
+            at_once = self.turn(&events);
+        }
+        info!("all is answered");
+        Ok(())
+    }
+
+    /// One turn of the loop; true where something is left to decide at once.
+    fn turn(&mut self, events: &Events) -> bool {
+        let now = self.clock.now();
+        let of = |wanted: Part| {
+            let split = events.iter().map(|event| split(event.key));
+            split.filter(move |(part, _)| *part == Some(wanted)).map(|(_, key)| key)
+        };
+        // What discovery says goes first: whatever else is read in this turn is decided by the new list.
+        for _ in of(Part::Discovery) {
+            for listing in self.discovery.event(now, &mut self.core) {
+                self.list(listing, false);
+            }
+        }
+        for _ in of(Part::Signal) {
+            self.terminate(now);
+        }
+        for key in of(Part::Backend) {
+            self.upstream.event(key, now, &mut self.core);
+        }
+        self.pass_on();
+        for key in of(Part::Client) {
+            self.front.event(key, now, &mut self.core);
+        }
+        for _ in of(Part::Listener) {
+            self.front.accept(now, &mut self.core);
+        }
+        while let Some(due) = self.core.deadlines.pop(now) {
+            self.due(due, now);
+        }
+        self.front.pump(now, &mut self.core);
+        self.decide(now)
+    }
+
+    fn due(&mut self, due: Due, now: Time) {
+        match due {
+            Due::Wake => self.core.wake(),
+            Due::Attempt(id) => self.core.timed_out(id, now),
+            Due::Backend(key) => self.upstream.expired(key, now, &mut self.core),
+            Due::Client(key) => self.front.look_over(key, now, &mut self.core),
+            Due::Discovery => self.discovery.due(now, &mut self.core),
+            Due::Accept => self.front.resume_accepting(now, &mut self.core),
+            Due::Stop => {
+                self.front.drain(now, &mut self.core);
+                self.stopping = true;
+            }
+        }
+    }
+
+    /// Decides and carries out, until nothing more comes of it; true where it has not come to an end.
+    fn decide(&mut self, now: Time) -> bool {
+        for _ in 0..ROUNDS {
+            let commands = self.core.decide(now);
+            if commands.is_empty() {
+                break;
+            }
+            for command in commands {
+                self.carry_out(command, now);
+            }
+            self.pass_on();
+            self.front.pump(now, &mut self.core);
+        }
+        self.core.has_news()
+    }
+
+    fn carry_out(&mut self, command: Command, now: Time) {
+        let core = &mut self.core;
+        match command {
+            Command::Send { attempt, origin, node } => match self.front.statement(origin, attempt.request) {
+                Some(statement) => self.upstream.send(attempt, statement, &node, now, core),
+                None => core.unsent(attempt, now),
+            },
+            Command::GiveUp { attempt, node } => self.upstream.give_up(attempt, &node, core),
+            Command::Probe(node) => self.upstream.probe(&node, now, core),
+            Command::CloseIdle(node) => self.upstream.close_idle(&node, core),
+            Command::Answer { request, origin, answer } => self.front.concluded(origin, request, answer),
+        }
+    }
+
+    fn pass_on(&mut self) {
+        for served in self.upstream.take_served() {
+            self.front.served(served.origin, served.request, served.reply);
+        }
+    }
+
+    fn list(&mut self, listing: Listing, restored: bool) {
+        let mut entries = Vec::with_capacity(listing.entries.len());
+        for (entry, address) in listing.entries {
+            debug!(node = %entry.node, group = entry.group, state = ?entry.state, primary = entry.primary, "listed");
+            if let Some(address) = address {
+                self.upstream.locate(&entry.node, address, &mut self.core);
+            }
+            if entry.state != Listed::Serving {
+                self.upstream.close_idle(&entry.node, &mut self.core);
+            }
+            entries.push(entry);
+        }
+        self.core.list(match (restored, listing.whole) {
+            (true, _) => ListUpdate::Restored(entries),
+            (false, true) => ListUpdate::Full(entries),
+            (false, false) => ListUpdate::Changes(entries),
+        });
+    }
+
+    fn terminate(&mut self, now: Time) {
+        info!(held = self.core.held(), "SIGTERM: finishing what has been taken on");
+        // Left readable, it would wake the loop over and over.
+        if let Err(e) = self.signal.want(Interest::Nothing) {
+            debug!("the signal's interest cannot be changed: {e}");
+        }
+        self.core.deadlines.add(now + STILL_ACCEPTING, Due::Stop);
+    }
+}
--- /dev/null
+++ b/router/src/upstream/mod.rs
@@ -0,0 +1,3 @@
+//! Upstreams: what db nodes speak. Each carries out attempts and reports how they end.
+
+pub mod pg;
--- /dev/null
+++ b/router/src/upstream/pg.rs
@@ -0,0 +1,473 @@
+//! The db nodes: a pool of PostgreSQL connections to each, one request at a time on every connection.
+
+use crate::clock;
+use crate::core::{AttemptId, Core};
+use crate::deadlines::Due;
+use crate::net::stream::{Peer, Stream};
+use crate::net::{Part, begin_connect, poll_key};
+use crate::pgwire::{self, Statement, code};
+use crate::table::{Key, Table};
+use plovercove::{Ending, NodeId, Role, Span, Standing, Time};
+use plovercove_poller::{Interest, Poll};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tracing::{debug, warn};
+
+const USER: &str = "worker";
+const DATABASE: &str = "catalog";
+const REPORT: &str = "SHOW pressure";
+/// The longest reply: a value of 64 KiB, as it is or in hex digits, and what stands round it.
+const LONGEST: usize = 256 * 1024;
+/// Idle connections are retired after this share of the time at which the node closes them: a request that crosses
+/// the node's close ends as a reset.
+const RETIRE: (Span, Span) = (1, 2);
+
+/// What a connection is wanted for.
+enum Job {
+    Attempt(AttemptId, Rc<Statement>),
+    Probe,
+}
+
+/// What has come of a reply.
+#[derive(Default)]
+struct Reply {
+    /// Row description, row and completion, as they came.
+    body: Vec<u8>,
+    /// Rows of a single column, and all other rows.
+    rows: (u32, u32),
+    complete: bool,
+    error: Option<String>,
+    note: Standing,
+    report: Standing,
+}
+
+enum State {
+    Dialing,
+    /// Connected; the node has not said that it is ready.
+    Greeting,
+    Idle,
+    Busy(Job, Reply, /* written whole: */ bool),
+}
+
+struct Backend {
+    stream: Stream,
+    node: NodeId,
+    state: State,
+    expires: Option<Time>,
+    idle_since: Time,
+}
+
+#[derive(Default)]
+struct Node {
+    address: Option<SocketAddr>,
+    idle: Vec<Key>,
+    /// Jobs without a connection, and connections under way.
+    waiting: VecDeque<Job>,
+    coming: usize,
+}
+
+/// A reply that is a request's final answer.
+pub struct Served {
+    /// The client.
+    pub origin: Key,
+    /// The request.
+    pub request: Key,
+    /// What to pass on.
+    pub reply: Vec<u8>,
+}
+
+/// The pools of all db nodes.
+pub struct Upstream {
+    poll: Poll,
+    nodes: BTreeMap<NodeId, Node>,
+    backends: Table<Backend>,
+    /// Where the attempts that have a connection run.
+    running: HashMap<AttemptId, Key>,
+    most: usize,
+    dial_timeout: Span,
+    idle_for: Span,
+    served: Vec<Served>,
+}
+
+impl Upstream {
+    /// Pools without connections, for so many at the most.
+    pub fn new(poll: &Poll, most: usize, dial_timeout: Span, node_closes_after: Span) -> Self {
+        Upstream {
+            poll: poll.clone(),
+            nodes: BTreeMap::new(),
+            backends: Table::new(),
+            running: HashMap::new(),
+            most,
+            dial_timeout,
+            idle_for: node_closes_after * RETIRE.0 / RETIRE.1,
+            served: Vec::new(),
+        }
+    }
+
+    /// The final answers that have come since the last call.
+    pub fn take_served(&mut self) -> Vec<Served> {
+        std::mem::take(&mut self.served)
+    }
+
+    /// Discovery says where a node is now; connections to where it was are no good.
+    pub fn locate(&mut self, node: &NodeId, address: SocketAddr, core: &mut Core) {
+        let known = self.nodes.entry(node.clone()).or_default();
+        if known.address.replace(address).is_some_and(|old| old != address) {
+            self.close_idle(node, core);
+        }
+    }
+
+    /// Closes the idle connections to a node.
+    pub fn close_idle(&mut self, node: &NodeId, core: &mut Core) {
+        let idle = self.nodes.get_mut(node).map(|n| std::mem::take(&mut n.idle)).unwrap_or_default();
+        for key in idle {
+            self.drop_backend(key, core);
+        }
+    }
+
+    /// The one place where a connection to a db node is given back. Returns the job that it held.
+    fn drop_backend(&mut self, key: Key, core: &mut Core) -> Option<Job> {
+        let mut backend = self.backends.remove(key)?;
+        core.deadlines.set(&mut backend.expires, Due::Backend(key), None);
+        let node = self.nodes.get_mut(&backend.node)?;
+        match backend.state {
+            State::Dialing | State::Greeting => node.coming -= 1,
+            State::Idle => node.idle.retain(|k| *k != key),
+            State::Busy(job, ..) => {
+                if let Job::Attempt(id, _) = &job {
+                    self.running.remove(id);
+                }
+                return Some(job);
+            }
+        }
+        None
+    }
+
+    /// Starts an attempt.
+    pub fn send(
+        &mut self, id: AttemptId, statement: Rc<Statement>, node: &NodeId, now: Time, core: &mut Core,
+    ) {
+        self.start(Job::Attempt(id, statement), node, now, core);
+    }
+
+    /// Asks a node for its report.
+    pub fn probe(&mut self, node: &NodeId, now: Time, core: &mut Core) {
+        self.start(Job::Probe, node, now, core);
+    }
+
+    fn start(&mut self, job: Job, id: &NodeId, now: Time, core: &mut Core) {
+        while let Some(key) = self.nodes.get_mut(id).and_then(|n| n.idle.pop()) {
+            if self.backends.get(key).is_some_and(|b| b.stream.quiet()) {
+                return self.occupy(key, job, now, core);
+            }
+            self.drop_backend(key, core);
+        }
+        let Some(node) = self.nodes.get_mut(id) else {
+            return Self::fail(job, id, Ending::Void, now, core);
+        };
+        node.waiting.push_back(job);
+        if node.waiting.len() > node.coming && self.dial(id, now, core).is_err() {
+            self.dial_failed(id, Ending::Unreachable, now, core);
+        }
+    }
+
+    /// Opens one more connection to a node, where there is room for it or an idle one elsewhere gives way.
+    fn dial(&mut self, id: &NodeId, now: Time, core: &mut Core) -> io::Result<()> {
+        if self.backends.len() >= self.most {
+            let idle = self.backends.iter().filter(|(_, b)| matches!(b.state, State::Idle));
+            match idle.min_by_key(|(_, b)| b.idle_since).map(|(key, _)| key) {
+                Some(key) => drop(self.drop_backend(key, core)),
+                None => return Err(ErrorKind::QuotaExceeded.into()),
+            }
+        }
+        let node = self.nodes.get_mut(id).ok_or(ErrorKind::NotFound)?;
+        let address = node.address.ok_or(ErrorKind::NotFound)?;
+        let socket = begin_connect(address)?;
+        let poll = &self.poll;
+        let key = self.backends.insert_with(|key| {
+            let at = poll_key(Part::Backend, Some(key));
+            let stream = Stream::new(poll, socket, at, Interest::Write, LONGEST)?;
+            let (node, state) = (id.clone(), State::Dialing);
+            Ok::<_, io::Error>(Backend { stream, node, state, expires: None, idle_since: now })
+        })?;
+        node.coming += 1;
+        let backend = self.backends.get_mut(key).expect("just made");
+        core.deadlines.set(&mut backend.expires, Due::Backend(key), Some(now + self.dial_timeout));
+        Ok(())
+    }
+
+    /// A connection did not come up: the job that waited longest fails, where no other connection is coming for it.
+    fn dial_failed(&mut self, id: &NodeId, ending: Ending, now: Time, core: &mut Core) {
+        let Some(node) = self.nodes.get_mut(id) else { return };
+        if node.waiting.len() > node.coming
+            && let Some(job) = node.waiting.pop_front()
+        {
+            Self::fail(job, id, ending, now, core);
+        }
+    }
+
+    fn fail(job: Job, node: &NodeId, ending: Ending, now: Time, core: &mut Core) {
+        match job {
+            Job::Attempt(id, _) => {
+                core.ended(now, id, ending, Standing::default(), Standing::default());
+            }
+            Job::Probe => core.probed(node.clone(), None),
+        }
+    }
+
+    /// Puts a job on a connection that is ready.
+    fn occupy(&mut self, key: Key, job: Job, now: Time, core: &mut Core) {
+        let Some(backend) = self.backends.get_mut(key) else { return };
+        let expires = match &job {
+            Job::Attempt(id, statement) => {
+                self.running.insert(*id, key);
+                statement.put(backend.stream.output(), clock::to_ms(core.patience(*id, now)).max(1));
+                None
+            }
+            Job::Probe => {
+                pgwire::put_query(backend.stream.output(), REPORT);
+                Some(now + self.dial_timeout)
+            }
+        };
+        core.deadlines.set(&mut backend.expires, Due::Backend(key), expires);
+        backend.state = State::Busy(job, Reply::default(), false);
+        self.write(key, now, core);
+    }
+
+    fn write(&mut self, key: Key, now: Time, core: &mut Core) {
+        let Some(backend) = self.backends.get_mut(key) else { return };
+        match backend.stream.flush() {
+            Ok(done) => {
+                if let State::Busy(job, _, written) = &mut backend.state
+                    && done
+                    && !std::mem::replace(written, true)
+                    && let Job::Attempt(id, _) = job
+                {
+                    core.written(*id);
+                }
+                backend.stream.wait_for(true);
+            }
+            Err(_) => self.broken(key, now, core),
+        }
+    }
+
+    /// A connection ended from the other side.
+    fn broken(&mut self, key: Key, now: Time, core: &mut Core) {
+        let Some(backend) = self.backends.get(key) else { return };
+        let node = backend.node.clone();
+        let (coming, written) = match backend.state {
+            State::Dialing | State::Greeting => (true, false),
+            State::Idle => (false, false),
+            State::Busy(_, _, written) => (false, written),
+        };
+        let job = self.drop_backend(key, core);
+        if coming {
+            self.dial_failed(&node, Ending::Unreachable, now, core);
+        } else if let Some(job) = job {
+            // Until its last byte is written a request never ran; after that it may have.
+            let ending = if written { Ending::Broken } else { Ending::Unreachable };
+            Self::fail(job, &node, ending, now, core);
+        }
+    }
+
+    /// The poller has something to say of a connection.
+    pub fn event(&mut self, key: Key, now: Time, core: &mut Core) {
+        let Some(backend) = self.backends.get_mut(key) else { return };
+        if matches!(backend.state, State::Dialing) {
+            if !backend.stream.connected() {
+                return self.broken(key, now, core);
+            }
+            backend.state = State::Greeting;
+            pgwire::put_startup(backend.stream.output(), USER, DATABASE);
+        }
+        if backend.stream.unsent() > 0 {
+            self.write(key, now, core);
+        }
+        let Some(backend) = self.backends.get_mut(key) else { return };
+        let peer = backend.stream.fill();
+        // What came before the end still counts.
+        while self.read(key, now, core) {}
+        if peer == Peer::Gone {
+            self.broken(key, now, core);
+        }
+    }
+
+    /// Takes one message in; false where none is whole.
+    fn read(&mut self, key: Key, now: Time, core: &mut Core) -> bool {
+        let Some(backend) = self.backends.get_mut(key) else { return false };
+        let message = match pgwire::message(backend.stream.unread(), LONGEST) {
+            Ok(Some(message)) => message,
+            Ok(None) if backend.stream.unread().len() < LONGEST => return false,
+            Ok(None) | Err(pgwire::Malformed) => {
+                warn!(node = %backend.node, "a message that cannot be followed");
+                self.broken(key, now, core);
+                return false;
+            }
+        };
+        let (kind, length) = (message.kind, message.raw.len());
+        let mut refused = None;
+        match (&mut backend.state, kind) {
+            (_, b'S' | b'N') | (State::Greeting, b'R' | b'K' | b'v' | b'Z') => {
+                if let State::Busy(_, reply, _) = &mut backend.state
+                    && kind == b'S'
+                {
+                    reply.status(message.body);
+                }
+            }
+            (State::Busy(job, reply, _), b'T' | b'D' | b'C' | b'E' | b'I' | b'Z') => {
+                reply.take(&message, matches!(job, Job::Probe));
+            }
+            (State::Greeting, b'E') => refused = Some(pgwire::error_code(message.body) == code::TURNED_AWAY),
+            _ => {
+                debug!(node = %backend.node, kind, "an unexpected message");
+                self.broken(key, now, core);
+                return false;
+            }
+        }
+        backend.stream.take(length);
+        if let Some(full) = refused {
+            let node = backend.node.clone();
+            self.drop_backend(key, core);
+            let ending = if full { Ending::Overloaded } else { Ending::Unreachable };
+            self.dial_failed(&node, ending, now, core);
+            return false;
+        }
+        if kind == b'Z' {
+            self.ready(key, now, core);
+        }
+        true
+    }
+
+    /// A connection is ready: it has come up, or its reply is whole.
+    fn ready(&mut self, key: Key, now: Time, core: &mut Core) {
+        let Some(backend) = self.backends.get_mut(key) else { return };
+        let id = backend.node.clone();
+        let node = self.nodes.get_mut(&id).expect("a node of a connection is kept");
+        match std::mem::replace(&mut backend.state, State::Idle) {
+            State::Greeting => node.coming -= 1,
+            State::Busy(Job::Attempt(attempt, _), reply, written) => {
+                self.running.remove(&attempt);
+                let ending = reply.ending();
+                let origin = core.ended(now, attempt, ending, reply.note, reply.report);
+                if let Some(origin) = origin {
+                    self.served.push(Served { origin, request: attempt.request, reply: reply.body });
+                }
+                if !written {
+                    // It answered what it has not been sent whole: nothing after that can be trusted.
+                    self.drop_backend(key, core);
+                    return;
+                }
+            }
+            State::Busy(Job::Probe, reply, _) => {
+                let told = (reply.ending() == Ending::Success).then_some(reply.report);
+                core.probed(id.clone(), told);
+            }
+            State::Dialing | State::Idle => {}
+        }
+        self.next_job(key, &id, now, core);
+    }
+
+    /// Gives a connection that is free to the next job, or keeps it.
+    fn next_job(&mut self, key: Key, id: &NodeId, now: Time, core: &mut Core) {
+        while let Some(job) = self.nodes.get_mut(id).and_then(|n| n.waiting.pop_front()) {
+            match job {
+                Job::Attempt(attempt, _) if !core.still_fits(attempt, now) => {
+                    Self::fail(job, id, Ending::Void, now, core);
+                }
+                job => return self.occupy(key, job, now, core),
+            }
+        }
+        let (Some(node), Some(backend)) = (self.nodes.get_mut(id), self.backends.get_mut(key)) else {
+            return;
+        };
+        node.idle.push(key);
+        backend.idle_since = now;
+        core.deadlines.set(&mut backend.expires, Due::Backend(key), Some(now + self.idle_for));
+    }
+
+    /// Stops an attempt; its connection is closed, so that late bytes reach no other request.
+    pub fn give_up(&mut self, id: AttemptId, node: &NodeId, core: &mut Core) {
+        if let Some(&key) = self.running.get(&id) {
+            self.drop_backend(key, core);
+        } else if let Some(node) = self.nodes.get_mut(node) {
+            node.waiting.retain(|job| !matches!(job, Job::Attempt(a, _) if *a == id));
+        }
+    }
+
+    /// A connection has been dialled, probed or idle for long enough.
+    pub fn expired(&mut self, key: Key, now: Time, core: &mut Core) {
+        let Some(backend) = self.backends.get_mut(key) else { return };
+        backend.expires = None;
+        self.broken(key, now, core);
+    }
+}
+
+impl Reply {
+    fn take(&mut self, message: &pgwire::Message<'_>, is_report: bool) {
+        match message.kind {
+            b'E' => self.error = Some(pgwire::error_code(message.body).to_string()),
+            b'T' | b'D' | b'C' => {
+                self.body.extend_from_slice(message.raw);
+                self.complete |= message.kind == b'C';
+                if message.kind == b'D' {
+                    match pgwire::single_value(message.body) {
+                        Some(value) => {
+                            self.rows.0 += 1;
+                            // A client's value may read like a report; it is none.
+                            if is_report {
+                                self.fields(value);
+                            }
+                        }
+                        None => self.rows.1 += 1,
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// ParameterStatus: what the node says of itself.
+    fn status(&mut self, body: &[u8]) {
+        let mut texts = pgwire::texts(body);
+        let (Some(name), Some(value)) = (texts.next(), texts.next()) else { return };
+        match name {
+            "replication_role" => self.note.role = role(value),
+            "log_position" => self.note.position = value.parse().ok().map(clock::from_ms),
+            "pressure" => self.fields(value.as_bytes()),
+            _ => {}
+        }
+    }
+
+    /// The fields of a load report, `name=value` with commas between; what is no report tells nothing.
+    fn fields(&mut self, text: &[u8]) {
+        let Ok(text) = std::str::from_utf8(text) else { return };
+        for (name, value) in text.split(',').filter_map(|field| field.split_once('=')) {
+            match (name, value.parse::<f64>()) {
+                ("x0", Ok(seconds)) => self.report.position = clock::from_seconds(seconds),
+                ("x1", Ok(figure)) => {
+                    self.report.role = Some(if figure == 1.0 { Role::Primary } else { Role::Replica });
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn ending(&self) -> Ending {
+        match self.error.as_deref() {
+            Some(code::READ_ONLY | code::TOO_OLD) => Ending::Missed,
+            Some(code::TURNED_AWAY) => Ending::Overloaded,
+            None if self.complete && self.rows == (1, 0) => Ending::Success,
+            _ => Ending::Failure,
+        }
+    }
+}
+
+fn role(word: &str) -> Option<Role> {
+    match word {
+        "primary" => Some(Role::Primary),
+        "standby" => Some(Role::Replica),
+        _ => None,
+    }
+}
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -292,11 +292,15 @@
 
     /// Whether a replica's data will do for a read: proved where it must be, expected where the node checks.
     fn fresh(&self, node: &Node, r: &Request) -> bool {
+        self.fresh_at(self.now, node, r)
+    }
+
+    fn fresh_at(&self, now: Time, node: &Node, r: &Request) -> bool {
         let need = match self.cfg.classes[r.what.class].access {
             Access::Write => return false,
             Access::Any => return true,
             // Between this decision and the send no time passes; a tick is kept for the clock's grain.
-            Access::Bounded(bound) => (self.now + self.cfg.tick).saturating_sub(bound),
+            Access::Bounded(bound) => (now + self.cfg.tick).saturating_sub(bound),
             Access::OwnWrites | Access::Latest => r.need.unwrap_or(0),
         };
         let slack = match self.cfg.replica_check {
@@ -306,10 +310,19 @@
         };
         // The lag of the last word is assumed to hold still. An unheard replica may try, but not a cold one:
         // it comes from an old copy, and reads that it turns away count towards pushing it over.
-        let expected = node.position + (self.now - node.heard) + slack;
+        let expected = node.position + now.saturating_sub(node.heard) + slack;
         if node.position == 0 { self.warm_share(node) >= 1.0 } else { expected >= need }
     }
 
+    /// Whether a send decided earlier may go out now: it waited for a connection, and the list, the roles and the
+    /// age of the node's data may have changed since.
+    pub fn still_fits(&self, now: Time, request: RequestId, node: &NodeId) -> bool {
+        let (Some(r), Some(node)) = (self.requests.get(&request), self.nodes.get(node)) else { return false };
+        let head = self.primary(r.what.group) == Some(&node.entry.node);
+        let write = self.cfg.classes[r.what.class].access == Access::Write;
+        node.closed.is_none() && (write || head || self.fresh_at(now, node, r))
+    }
+
     // ---- placement
 
     /// SF: how much of the read's statement and objects the node's recent reads share.
