--- a/src/balance.rs
+++ b/src/balance.rs
@@ -314,10 +314,11 @@
         if node.position == 0 { self.warm_share(node) >= 1.0 } else { expected >= need }
     }
 
-    /// Whether a send decided earlier may go out now: it waited for a connection, and the list, the roles and the
-    /// age of the node's data may have changed since.
+    /// Whether a send decided earlier may go out now: it waited for a connection, and the list, the roles and
+    /// the age of the node's data may have changed since.
     pub fn still_fits(&self, now: Time, request: RequestId, node: &NodeId) -> bool {
-        let (Some(r), Some(node)) = (self.requests.get(&request), self.nodes.get(node)) else { return false };
+        let Some(r) = self.requests.get(&request) else { return false };
+        let Some(node) = self.nodes.get(node) else { return false };
         let head = self.primary(r.what.group) == Some(&node.entry.node);
         let write = self.cfg.classes[r.what.class].access == Access::Write;
         node.closed.is_none() && (write || head || self.fresh_at(now, node, r))
