--- /dev/null
+++ b/Makefile
@@ -0,0 +1,18 @@
+.PHONY: build test lint run check
+
+build:
+	cargo build --release
+
+test:
+	cargo test --workspace --locked
+
+lint:
+	cargo fmt --all --check
+	cargo clippy --workspace --all-targets --locked -- -D warnings
+
+# PROXY_CONFIG names the configuration file.
+run: build
+	exec target/release/plovercove
+
+check:
+	.ci/run
--- a/router/src/front/pg.rs
+++ b/router/src/front/pg.rs
@@ -215,10 +215,12 @@
     }
 
     /// The poller has something to say of a client.
-    pub fn event(&mut self, key: Key, now: Time, core: &mut Core) {
+    pub fn event(&mut self, key: Key, hung_up: bool, now: Time, core: &mut Core) {
         let Some(client) = self.clients.get_mut(key) else { return };
         client.touched = now;
-        if client.phase != Phase::Closing && client.stream.fill() == Peer::Gone {
+        // Danger: the poller tells of a reset whatever the socket waits for, over and over: one that is not being
+        // read would keep the loop spinning.
+        if hung_up || (client.phase != Phase::Closing && client.stream.fill() == Peer::Gone) {
             debug!(client = key.number(), "gone");
             return self.close(key, core);
         }
--- a/router/src/net/mod.rs
+++ b/router/src/net/mod.rs
@@ -85,6 +85,7 @@
         signal_hook::low_level::pipe::register(signal_hook::consts::SIGTERM, theirs)?;
         let signal = poll.register(ours, poll_key(Part::Signal, None), Interest::Read)?;
         let listener = TcpListener::bind(config.listen)?;
+        let listen = listener.local_addr()?;
         let settings = config.settings;
         let mut router = Router {
             clock: Clock::new(),
@@ -102,7 +103,7 @@
             stopping: false,
         };
         router.list(config.known, true);
-        info!(name = config.name, listen = %config.listen, "serving");
+        info!(name = config.name, %listen, "serving");
         Ok(router)
     }
 
@@ -129,9 +130,15 @@
     /// One turn of the loop; true where something is left to decide at once.
     fn turn(&mut self, events: &Events) -> bool {
         let now = self.clock.now();
+        let all = || {
+            events
+                .iter()
+                .map(|event| (split(event.key), event.is_interrupt() || event.is_err() == Some(true)))
+        };
         let of = |wanted: Part| {
-            let split = events.iter().map(|event| split(event.key));
-            split.filter(move |(part, _)| *part == Some(wanted)).map(|(_, key)| key)
+            all()
+                .filter(move |((part, _), _)| *part == Some(wanted))
+                .map(|((_, key), hung_up)| (key, hung_up))
         };
         // What discovery says goes first: whatever else is read in this turn is decided by the new list.
         for _ in of(Part::Discovery) {
@@ -142,12 +149,12 @@
         for _ in of(Part::Signal) {
             self.terminate(now);
         }
-        for key in of(Part::Backend) {
+        for (key, _) in of(Part::Backend) {
             self.upstream.event(key, now, &mut self.core);
         }
         self.pass_on();
-        for key in of(Part::Client) {
-            self.front.event(key, now, &mut self.core);
+        for (key, hung_up) in of(Part::Client) {
+            self.front.event(key, hung_up, now, &mut self.core);
         }
         for _ in of(Part::Listener) {
             self.front.accept(now, &mut self.core);
