Bound waiting statements by memory; take in queries that were left for want of room

Seen: reading the loop, a client that sends more queries at once than there is room to answer (256 KiB unsent) had the rest left in the input buffer; once the answers were written, no event of the socket came for bytes already read. Lines at fault: the pump in front/pg.rs stopped at the first full output and went to wait on the poller.

Statements that wait for their answers now share a quarter of the memory limit; beyond it a query is refused. Settings of the wrong kind under limits or Prices, and counts over 32 bits, are complained of by key.

--- a/router/src/config.rs
+++ b/router/src/config.rs
@@ -12,6 +12,8 @@
 const SOCKETS: u64 = 1_024;
 /// Descriptors for all but connections: standard streams, poller, listener, signals, discovery, and some spare.
 const RESERVED: u64 = 24;
+/// Memory in MB where no limit is told, and the share of it that waiting statements may take up.
+const MEMORY: (f64, f64) = (192.0, 0.25);
 /// The least of descriptors and memory that the router can work with.
 const LEAST: (u64, f64) = (64, 32.0);
 
@@ -31,6 +33,8 @@
     pub clients: usize,
     /// The most connections to db nodes.
     pub backends: usize,
+    /// The most bytes of statements that wait for their answers.
+    pub statements: usize,
     /// How much is logged.
     pub log: tracing::Level,
     /// What the module is told.
@@ -60,13 +64,14 @@
             .parse::<SocketAddr>()
             .map_err(|_| Fault::new(format!("{from}: expected an address and port, got {given:?}")))
     };
-    let limits = top.sub("limits").ok();
-    let limit = |key: &str| limits.as_ref().map(|l| l.maybe(key, number)).transpose().map(Option::flatten);
+    let limits = top.maybe_sub("limits")?;
+    let limit = |key: &str| limits.as_ref().map_or(Ok(None), |part| part.maybe(key, number));
     let sockets = limit("sockets")?.map_or(SOCKETS, |n| n as u64);
     if sockets < LEAST.0 {
         return Err(Fault::new(format!("limits.sockets: expected at least {}, got {sockets}", LEAST.0)));
     }
-    if let Some(memory) = limit("memory_mb")?.filter(|mb| *mb < LEAST.1) {
+    let memory = limit("memory_mb")?.unwrap_or(MEMORY.0);
+    if memory < LEAST.1 {
         return Err(Fault::new(format!("limits.memory_mb: expected at least {}, got {memory}", LEAST.1)));
     }
     let clients = (sockets - RESERVED) / 2;
@@ -78,6 +83,7 @@
         seed: top.maybe("seed", seed)?.unwrap_or(1),
         clients: clients as usize,
         backends: (sockets - RESERVED - clients) as usize,
+        statements: (memory * MEMORY.1 * 1e6) as usize,
         log: match variable("PROXY_LOG") {
             Some(word) => word.parse().map_err(|_| {
                 Fault::new(format!("PROXY_LOG: expected error, warn, info, debug or trace, got {word:?}"))
@@ -111,6 +117,13 @@
             ("127.0.0.1:1", "here", "listen: expected an address and port, got \"here\""),
             ("\"name\":\"n1\"", "\"name\":7", "name: expected text, got 7"),
             ("1024", "10", "limits.sockets: expected at least 64"),
+            ("{\"memory_mb\":192,\"sockets\":1024}", "7", "limits: expected an object, got 7"),
+            ("\"memory_mb\":192", "\"memory_mb\":1", "limits.memory_mb: expected at least 32, got 1"),
+            (
+                "\"Balancers\":1",
+                "\"Balancers\":5000000000",
+                "settings.Balancers: expected a whole number under 2^32",
+            ),
             ("\"sockets\":1024", "\"sockets\":\"x\"", "limits.sockets: expected a number"),
             (
                 "\"endpoints\":[]",
--- a/router/src/discovery.rs
+++ b/router/src/discovery.rs
@@ -7,7 +7,7 @@
 use crate::core::Core;
 use crate::deadlines::Due;
 use crate::net::stream::{Peer, Stream};
-use crate::net::{Part as Place, begin_connect, poll_key};
+use crate::net::{Source, begin_connect, poll_key};
 use plovercove::{Listed, NodeEntry, Time};
 use plovercove_poller::{Interest, Poll};
 use plovercove_settings::{Fault, Part, Read, Value, flag, list, number, parse, text, whole};
@@ -98,7 +98,7 @@
 
     fn connect(&self) -> io::Result<Stream> {
         let socket = begin_connect(self.agent)?;
-        Stream::new(&self.poll, socket, poll_key(Place::Discovery, None), Interest::Write, LONGEST)
+        Stream::new(&self.poll, socket, poll_key(Source::Discovery, None), Interest::Write, LONGEST)
     }
 
     fn call(&mut self, now: Time, core: &mut Core) {
--- a/router/src/front/pg.rs
+++ b/router/src/front/pg.rs
@@ -3,8 +3,9 @@
 use crate::clock;
 use crate::core::{Answer, Core};
 use crate::deadlines::Due;
+use crate::net::budget::{Budget, Share};
 use crate::net::stream::{Peer, Stream};
-use crate::net::{Part, poll_key};
+use crate::net::{Source, poll_key};
 use crate::pgwire::{self, Opening, Statement, code};
 use crate::table::{Key, Table};
 use plovercove::{Access, Demand, Time};
@@ -43,10 +44,17 @@
 
 /// One thing that is owed to a client, in order.
 struct Pending {
-    request: Option<(Key, Rc<Statement>)>,
+    request: Option<Asked>,
     answer: Option<Vec<u8>>,
 }
 
+/// A request that the core has taken on.
+struct Asked {
+    request: Key,
+    statement: Rc<Statement>,
+    _share: Share,
+}
+
 struct Client {
     stream: Stream,
     phase: Phase,
@@ -84,28 +92,37 @@
     }
 }
 
+/// What a query is read with.
+struct Words {
+    names: Names,
+    /// What statements that wait for their answers may take up together.
+    statements: Budget,
+}
+
 /// All clients, and the listener they come by.
 pub struct Front {
     poll: Poll,
     listener: Option<Registered<TcpListener>>,
     clients: Table<Client>,
     most: usize,
-    names: Names,
+    words: Words,
     marked: Vec<Key>,
     draining: bool,
 }
 
 impl Front {
-    /// A front on this listener, for so many clients.
-    pub fn new(poll: &Poll, listener: TcpListener, most: usize, names: Names) -> std::io::Result<Self> {
+    /// A front on this listener, for so many clients and bytes of statements.
+    pub fn new(
+        poll: &Poll, listener: TcpListener, most: usize, statements: usize, names: Names,
+    ) -> std::io::Result<Self> {
         listener.set_nonblocking(true)?;
-        let listener = poll.register(listener, poll_key(Part::Listener, None), Interest::Read)?;
+        let listener = poll.register(listener, poll_key(Source::Listener, None), Interest::Read)?;
         Ok(Front {
             poll: poll.clone(),
             listener: Some(listener),
             clients: Table::new(),
             most,
-            names,
+            words: Words { names, statements: Budget::new(statements) },
             marked: Vec::new(),
             draining: false,
         })
@@ -158,7 +175,7 @@
         let phase = if self.clients.len() < self.most { Phase::Opening } else { Phase::Refusing };
         let poll = &self.poll;
         let made = self.clients.insert_with(|key| {
-            let at = poll_key(Part::Client, Some(key));
+            let at = poll_key(Source::Client, Some(key));
             let stream = Stream::new(poll, socket, at, Interest::Read, LONGEST + 8)?;
             let pending = VecDeque::new();
             Ok::<_, std::io::Error>(Client {
@@ -202,8 +219,8 @@
     fn close(&mut self, key: Key, core: &mut Core) {
         let Some(mut client) = self.clients.remove(key) else { return };
         core.deadlines.set(&mut client.look, Due::Client(key), None);
-        for (request, _) in client.pending.into_iter().filter_map(|p| p.request) {
-            core.gone(request);
+        for asked in client.pending.into_iter().filter_map(|p| p.request) {
+            core.gone(asked.request);
         }
     }
 
@@ -214,6 +231,11 @@
         }
     }
 
+    /// Whether something has happened that has not been pumped.
+    pub fn has_marked(&self) -> bool {
+        !self.marked.is_empty()
+    }
+
     /// The poller has something to say of a client.
     pub fn event(&mut self, key: Key, hung_up: bool, now: Time, core: &mut Core) {
         let Some(client) = self.clients.get_mut(key) else { return };
@@ -244,7 +266,8 @@
     /// The statement of a request, for an attempt.
     pub fn statement(&self, origin: Key, request: Key) -> Option<Rc<Statement>> {
         let pending = self.clients.get(origin)?.pending.iter();
-        pending.filter_map(|p| p.request.as_ref()).find(|(r, _)| *r == request).map(|(_, s)| Rc::clone(s))
+        let mut asked = pending.filter_map(|p| p.request.as_ref());
+        asked.find(|asked| asked.request == request).map(|asked| Rc::clone(&asked.statement))
     }
 
     /// Passes on what a db node answered: row description, row and completion, as they came.
@@ -268,7 +291,7 @@
 
     fn answer(&mut self, origin: Key, request: Key, word: impl FnOnce(&mut Vec<u8>)) {
         let Some(client) = self.clients.get_mut(origin) else { return };
-        let is_it = |p: &&mut Pending| p.request.as_ref().is_some_and(|(r, _)| *r == request);
+        let is_it = |p: &&mut Pending| p.request.as_ref().is_some_and(|asked| asked.request == request);
         let Some(pending) = client.pending.iter_mut().find(is_it) else { return };
         let mut answer = Vec::new();
         word(&mut answer);
@@ -283,23 +306,10 @@
         for key in mem::take(&mut self.marked) {
             let Some(client) = self.clients.get_mut(key) else { continue };
             client.marked = false;
-            let before = client.stream.unsent();
-            loop {
-                while let Some(answer) = client.pending.front_mut().and_then(|p| p.answer.take()) {
-                    client.stream.output().extend_from_slice(&answer);
-                    client.pending.pop_front();
-                }
-                if !Self::read(&self.names, client, key, now, core) {
-                    break;
-                }
-            }
-            let Ok(sent) = client.stream.flush() else {
+            let Ok(sent) = Self::exchange(&self.words, client, key, now, core) else {
                 self.close(key, core);
                 continue;
             };
-            if sent || client.stream.unsent() < before {
-                client.touched = now;
-            }
             let open = client.phase != Phase::Closing;
             if sent && client.pending.is_empty() && !open {
                 self.close(key, core);
@@ -313,12 +323,36 @@
         }
     }
 
+    /// Queues the answers whose turn it is, takes in what there is room for, and writes; true once all is written.
+    fn exchange(
+        words: &Words, client: &mut Client, key: Key, now: Time, core: &mut Core,
+    ) -> Result<bool, Peer> {
+        loop {
+            while let Some(answer) = client.pending.front_mut().and_then(|p| p.answer.take()) {
+                client.stream.output().extend_from_slice(&answer);
+                client.pending.pop_front();
+            }
+            if Self::read(words, client, key, now, core) {
+                continue;
+            }
+            let before = client.stream.unsent();
+            let sent = client.stream.flush()?;
+            if client.stream.unsent() < before {
+                client.touched = now;
+            }
+            // Danger: messages left unread for want of room to answer them bring no further event of the socket.
+            if !sent || before < PIPELINE.1 {
+                return Ok(sent);
+            }
+        }
+    }
+
     fn has_room(client: &Client) -> bool {
         client.pending.len() < PIPELINE.0 && client.stream.unsent() < PIPELINE.1
     }
 
     /// Takes one message in; false where none is whole or there is no room for it.
-    fn read(names: &Names, client: &mut Client, key: Key, now: Time, core: &mut Core) -> bool {
+    fn read(words: &Words, client: &mut Client, key: Key, now: Time, core: &mut Core) -> bool {
         if !Self::has_room(client) {
             return false;
         }
@@ -346,7 +380,7 @@
             }
             (_, _) if client.phase == Phase::Skipping => {}
             (b'Q', Some(Some(text))) => match String::from_utf8(text) {
-                Ok(text) => Self::query(names, client, key, &text, now, core),
+                Ok(text) => Self::query(words, client, key, &text, now, core),
                 Err(_) => client.object(code::PROTOCOL, "the query is not UTF-8"),
             },
             (b'Q', _) => client.object(code::PROTOCOL, "the query does not end"),
@@ -393,7 +427,7 @@
         true
     }
 
-    fn query(names: &Names, client: &mut Client, key: Key, text: &str, now: Time, core: &mut Core) {
+    fn query(words: &Words, client: &mut Client, key: Key, text: &str, now: Time, core: &mut Core) {
         let bare = text.trim().trim_end_matches(';');
         if bare.is_empty() {
             return client.say(|out| {
@@ -413,7 +447,7 @@
             Ok(labels) => labels,
             Err(complaint) => return client.object(code::PROTOCOL, &complaint),
         };
-        let Some(class) = names.class(labels.class) else {
+        let Some(class) = words.names.class(labels.class) else {
             return client.object(code::UNDEFINED, &format!("class {:?} does not exist", labels.class));
         };
         if !core.knows_group(labels.group) {
@@ -423,7 +457,7 @@
         let has_session = matches!(figures.access, Access::Write | Access::OwnWrites);
         let demand = Demand {
             class,
-            tenant: labels.tenant.and_then(|t| names.tenant(t)),
+            tenant: labels.tenant.and_then(|t| words.names.tenant(t)),
             session: labels.key.filter(|_| has_session).map(Into::into),
             left: labels.patience.map_or(figures.deadline, clock::from_ms),
             group: labels.group,
@@ -431,9 +465,12 @@
             repeat: labels.repeat,
             ..Demand::default()
         };
+        let Some(share) = words.statements.take(text.len()) else {
+            return client.object(code::TURNED_AWAY, "too many statements are waiting");
+        };
         let statement = Rc::new(Statement::new(text, &labels));
-        let request = core.request(key, demand);
-        client.pending.push_back(Pending { request: Some((request, statement)), answer: None });
+        let asked = Asked { request: core.request(key, demand), statement, _share: share };
+        client.pending.push_back(Pending { request: Some(asked), answer: None });
     }
 
     /// Closes the listener and all idle clients; the others are closed once they are answered.
@@ -443,7 +480,7 @@
         self.draining = true;
         let all: Vec<Key> = self.clients.iter().map(|(key, _)| key).collect();
         for key in all {
-            if self.clients.get(key).is_some_and(|c| c.idle() && c.phase == Phase::Ready) {
+            if self.clients.get(key).is_some_and(Client::idle) {
                 self.close_idle(key, core);
             }
         }
--- a/router/src/net/mod.rs
+++ b/router/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! The one loop: it waits on the poller, hands what has come to the parts, lets the module decide, and carries that out.
 
+pub mod budget;
 pub mod stream;
 
 use crate::clock::Clock;
@@ -27,7 +28,7 @@
 
 /// Whom an event of the poller is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Part {
+pub enum Source {
     /// The listener.
     Listener = 1,
     /// A signal that has come.
@@ -40,17 +41,17 @@
     Backend = 5,
 }
 
-const PART_SHIFT: u32 = 56;
+const SOURCE_SHIFT: u32 = 56;
 
 /// The number under which a socket hangs on the poller.
-pub fn poll_key(part: Part, key: Option<Key>) -> usize {
-    (part as usize) << PART_SHIFT | key.map_or(0, |k| k.number() as usize)
+pub fn poll_key(source: Source, key: Option<Key>) -> usize {
+    (source as usize) << SOURCE_SHIFT | key.map_or(0, |k| k.number() as usize)
 }
 
-fn split(number: usize) -> (Option<Part>, Key) {
-    let parts = [Part::Listener, Part::Signal, Part::Discovery, Part::Client, Part::Backend];
-    let part = parts.into_iter().find(|p| *p as usize == number >> PART_SHIFT);
-    (part, Key::from_number(number as u64 & ((1 << PART_SHIFT) - 1)))
+fn split(number: usize) -> (Option<Source>, Key) {
+    let sources = [Source::Listener, Source::Signal, Source::Discovery, Source::Client, Source::Backend];
+    let source = sources.into_iter().find(|s| *s as usize == number >> SOURCE_SHIFT);
+    (source, Key::from_number(number as u64 & ((1 << SOURCE_SHIFT) - 1)))
 }
 
 /// Begins a connection that does not block; the poller tells when it is up.
@@ -83,14 +84,14 @@
         let (ours, theirs) = UnixStream::pair()?;
         ours.set_nonblocking(true)?;
         signal_hook::low_level::pipe::register(signal_hook::consts::SIGTERM, theirs)?;
-        let signal = poll.register(ours, poll_key(Part::Signal, None), Interest::Read)?;
+        let signal = poll.register(ours, poll_key(Source::Signal, None), Interest::Read)?;
         let listener = TcpListener::bind(config.listen)?;
         let listen = listener.local_addr()?;
         let settings = config.settings;
         let mut router = Router {
             clock: Clock::new(),
             signal,
-            front: Front::new(&poll, listener, config.clients, Names::of(&settings))?,
+            front: Front::new(&poll, listener, config.clients, config.statements, Names::of(&settings))?,
             upstream: Upstream::new(
                 &poll,
                 config.backends,
@@ -135,28 +136,28 @@
                 .iter()
                 .map(|event| (split(event.key), event.is_interrupt() || event.is_err() == Some(true)))
         };
-        let of = |wanted: Part| {
+        let of = |wanted: Source| {
             all()
-                .filter(move |((part, _), _)| *part == Some(wanted))
+                .filter(move |((source, _), _)| *source == Some(wanted))
                 .map(|((_, key), hung_up)| (key, hung_up))
         };
         // What discovery says goes first: whatever else is read in this turn is decided by the new list.
-        for _ in of(Part::Discovery) {
+        for _ in of(Source::Discovery) {
             for listing in self.discovery.event(now, &mut self.core) {
                 self.list(listing, false);
             }
         }
-        for _ in of(Part::Signal) {
+        for _ in of(Source::Signal) {
             self.terminate(now);
         }
-        for (key, _) in of(Part::Backend) {
+        for (key, _) in of(Source::Backend) {
             self.upstream.event(key, now, &mut self.core);
         }
         self.pass_on();
-        for (key, hung_up) in of(Part::Client) {
+        for (key, hung_up) in of(Source::Client) {
             self.front.event(key, hung_up, now, &mut self.core);
         }
-        for _ in of(Part::Listener) {
+        for _ in of(Source::Listener) {
             self.front.accept(now, &mut self.core);
         }
         while let Some(due) = self.core.deadlines.pop(now) {
@@ -194,7 +195,7 @@
             self.pass_on();
             self.front.pump(now, &mut self.core);
         }
-        self.core.has_news()
+        self.core.has_news() || self.front.has_marked()
     }
 
     fn carry_out(&mut self, command: Command, now: Time) {
--- a/router/src/pgwire.rs
+++ b/router/src/pgwire.rs
@@ -189,8 +189,6 @@
 /// What the comment in front of a statement says, by name.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct Labels<'a> {
-    /// The request's identity.
-    pub id: &'a str,
     /// The class.
     pub class: &'a str,
     /// The tenant, where told.
@@ -226,7 +224,6 @@
             trimmed_value.parse::<u64>().map_err(|_| wrong())
         };
         match name {
-            "id" => found.id = trimmed_value,
             "c" => class = Some(trimmed_value),
             "t" => found.tenant = Some(trimmed_value).filter(|t| !t.is_empty()),
             "d" => {
--- a/router/src/upstream/pg.rs
+++ b/router/src/upstream/pg.rs
@@ -4,7 +4,7 @@
 use crate::core::{AttemptId, Core};
 use crate::deadlines::Due;
 use crate::net::stream::{Peer, Stream};
-use crate::net::{Part, begin_connect, poll_key};
+use crate::net::{Source, begin_connect, poll_key};
 use crate::pgwire::{self, Statement, code};
 use crate::table::{Key, Table};
 use plovercove::{Ending, NodeId, Role, Span, Standing, Time};
@@ -187,7 +187,7 @@
         let socket = begin_connect(address)?;
         let poll = &self.poll;
         let key = self.backends.insert_with(|key| {
-            let at = poll_key(Part::Backend, Some(key));
+            let at = poll_key(Source::Backend, Some(key));
             let stream = Stream::new(poll, socket, at, Interest::Write, LONGEST)?;
             let (node, state) = (id.clone(), State::Dialing);
             Ok::<_, io::Error>(Backend { stream, node, state, expires: None, idle_since: now })
--- a/router/tests/exchanges.rs
+++ b/router/tests/exchanges.rs
@@ -5,7 +5,7 @@
 //! | --- | --- |
 //! | `c1 connect` | a client opens a connection |
 //! | `r1 accept r` | the db node `p` or `r`, or the `agent`, takes one in |
-//! | `c1 > BYTES` | sends, in Rust's escapes; `Q\|text` frames a message, `{word}` stands for one of `WORDS` |
+//! | `c1 > BYTES` | sends, in Rust's escapes; `Q\|text` frames a message, `9*` repeats it, `{word}` is one of `WORDS` |
 //! | `c1 < Z` | reads messages up to one of that kind; `packet` for one without a kind, `byte`, `http` |
 //! | `c1 < closed` | reads up to the end of the connection |
 //! | `p closed`, `r1 close` | closes a db node's listener, or a connection |
@@ -173,7 +173,8 @@
     }
 
     fn note(&mut self, who: &str, bytes: &[u8], after: &str) {
-        let text = bytes.escape_ascii().to_string();
+        let long = bytes.len() > 2_000;
+        let text = if long { format!("{} bytes", bytes.len()) } else { bytes.escape_ascii().to_string() };
         // How long an attempt is waited for depends on the moment; that it is told does not.
         let text = match text.split_once(",d=") {
             Some((head, tail)) => {
@@ -197,15 +198,16 @@
     }
     let mut bytes = Vec::new();
     for part in text.split(';') {
-        match part.split_once('|').filter(|(kind, _)| kind.len() == 1) {
+        let times = part.split_once('*').and_then(|(count, rest)| Some((count.parse().ok()?, rest)));
+        let (times, part) = times.unwrap_or((1, part));
+        let message = match part.split_once('|').filter(|(kind, _)| kind.len() == 1) {
             Some((kind, body)) => {
                 let body = unescape(body);
-                bytes.extend_from_slice(kind.as_bytes());
-                bytes.extend_from_slice(&(body.len() as u32 + 4).to_be_bytes());
-                bytes.extend_from_slice(&body);
+                [kind.as_bytes(), &(body.len() as u32 + 4).to_be_bytes(), &body].concat()
             }
-            None => bytes.extend_from_slice(&unescape(part)),
-        }
+            None => unescape(part),
+        };
+        bytes.extend(message.repeat(times));
     }
     bytes
 }
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -91,6 +91,11 @@
     value.as_u64().or_else(as_float).ok_or_else(|| bad(what, "a whole number", value))
 }
 
+/// A whole number of 32 bits.
+pub fn small(value: &Value, what: &str) -> Read<u32> {
+    u32::try_from(whole(value, what)?).map_err(|_| bad(what, "a whole number under 2^32", value))
+}
+
 /// Any number.
 pub fn number(value: &Value, what: &str) -> Read<f64> {
     value.cast_f64().ok_or_else(|| bad(what, "a number", value))
@@ -133,6 +138,14 @@
         }
     }
 
+    /// A part of this part that may be null or left out, but is an object where it is there.
+    pub fn maybe_sub(&self, key: &str) -> Read<Option<Part<'a>>> {
+        match self.value.get(key) {
+            None | Some(Value::Static(StaticNode::Null)) => Ok(None),
+            Some(_) => self.sub(key).map(Some),
+        }
+    }
+
     /// A value that must be there.
     pub fn get<T>(&self, key: &str, as_kind: impl Fn(&'a Value, &str) -> Read<T>) -> Read<T> {
         let path = format!("{}{key}", self.path);
@@ -160,7 +173,7 @@
     let top = Part::new(facts, path);
     let (info, limits, rules) = (top.sub("FamilyInfo")?, top.sub("Limits")?, top.sub("Rules")?);
     let report = top.sub("Report")?;
-    let prices = top.sub("Prices").ok();
+    let prices = top.maybe_sub("Prices")?;
     let price = |key: &str| -> Read<f64> {
         Ok(prices.as_ref().map(|p| p.maybe(key, number)).transpose()?.flatten().unwrap_or(0.0))
     };
@@ -241,8 +254,8 @@
         zero: info.maybe("BaseTime", whole)?.unwrap_or(0),
         report: columns.collect::<Read<_>>()?,
         settings: Settings {
-            index: top.get("SlotNo", whole)? as u32,
-            routers: top.get("Balancers", whole)? as u32,
+            index: top.get("SlotNo", small)?,
+            routers: top.get("Balancers", small)?,
             zone: top.maybe("Zone", text)?.unwrap_or("").to_string(),
             classes: classes.collect::<Read<_>>()?,
             tenants: tenants.collect::<Read<_>>()?,
@@ -265,7 +278,7 @@
             second_copies: yes(&limits, "SecondCopies")?,
             retry_after: yes(&limits, "RetryAfter")?,
             max_retry_after: limits.maybe("MaxRetryAfter", whole)?.unwrap_or(0),
-            max_attempts: limits.get("MaxAttempts", whole)? as u32,
+            max_attempts: limits.get("MaxAttempts", small)?,
             connect_timeout: limits.maybe("DialTimeout", whole)?.unwrap_or(250_000),
             connection_idle: limits.maybe("ConnIdle", whole)?.unwrap_or(60_000_000),
             tick: top.get("Tick", whole)?,
