--- a/router/tests/exchanges.rs
+++ b/router/tests/exchanges.rs
@@ -262,4 +262,5 @@
     crowded_node,
     gone_client,
     silent_agent,
+    many_queries,
 );
