Hear out a db node that answers and closes; write no request to one that is closing

Seen: reading upstream/pg.rs against PROTOCOL's table. A node may close after any statement. Where it turned a write away with a fatal error and closed without ReadyForQuery, the attempt ended as a reset, and the write could not be sent again though it never ran. Where it answered and closed at once, a request that waited for a connection was written to the dying one and ended as a reset. Lines at fault: broken() ignored the reply so far; next_job() did not look before it wrote. Checked: fatal_refusal.txt and closing_node.txt fail without the change.

--- a/router/src/upstream/pg.rs
+++ b/router/src/upstream/pg.rs
@@ -27,7 +27,8 @@
 /// What a connection is wanted for.
 enum Job {
     Attempt(AttemptId, Rc<Statement>),
-    Probe,
+    /// Asked for at that time.
+    Probe(Time),
 }
 
 /// What has come of a reply.
@@ -154,7 +155,7 @@
 
     /// Asks a node for its report.
     pub fn probe(&mut self, node: &NodeId, now: Time, core: &mut Core) {
-        self.start(Job::Probe, node, now, core);
+        self.start(Job::Probe(now), node, now, core);
     }
 
     fn start(&mut self, job: Job, id: &NodeId, now: Time, core: &mut Core) {
@@ -213,7 +214,7 @@
             Job::Attempt(id, _) => {
                 core.ended(now, id, ending, Standing::default(), Standing::default());
             }
-            Job::Probe => core.probed(node.clone(), None),
+            Job::Probe(_) => core.probed(node.clone(), None),
         }
     }
 
@@ -226,7 +227,7 @@
                 statement.put(backend.stream.output(), clock::to_ms(core.patience(*id, now)).max(1));
                 None
             }
-            Job::Probe => {
+            Job::Probe(_) => {
                 pgwire::put_query(backend.stream.output(), REPORT);
                 Some(now + self.dial_timeout)
             }
@@ -253,22 +254,44 @@
         }
     }
 
-    /// A connection ended from the other side.
+    /// A connection ended from the other side, or was waited for long enough.
     fn broken(&mut self, key: Key, now: Time, core: &mut Core) {
-        let Some(backend) = self.backends.get(key) else { return };
+        let Some(backend) = self.backends.get_mut(key) else { return };
         let node = backend.node.clone();
-        let (coming, written) = match backend.state {
-            State::Dialing | State::Greeting => (true, false),
-            State::Idle => (false, false),
-            State::Busy(_, _, written) => (false, written),
+        let coming = matches!(backend.state, State::Dialing | State::Greeting);
+        let reply = match &mut backend.state {
+            State::Busy(_, reply, written) => Some((std::mem::take(reply), *written)),
+            _ => None,
         };
         let job = self.drop_backend(key, core);
         if coming {
             self.dial_failed(&node, Ending::Unreachable, now, core);
-        } else if let Some(job) = job {
-            // Until its last byte is written a request never ran; after that it may have.
-            let ending = if written { Ending::Broken } else { Ending::Unreachable };
-            Self::fail(job, &node, ending, now, core);
+        } else if let (Some(job), Some((reply, written))) = (job, reply) {
+            // Until its last byte is written a request never ran; after that it may have, unless the db node said
+            // what became of it before it closed.
+            match written {
+                true if reply.tells() => self.finish(job, reply, &node, now, core),
+                true => Self::fail(job, &node, Ending::Broken, now, core),
+                false => Self::fail(job, &node, Ending::Unreachable, now, core),
+            }
+        }
+    }
+
+    /// Reports what came of a job.
+    fn finish(&mut self, job: Job, reply: Reply, node: &NodeId, now: Time, core: &mut Core) {
+        let ending = reply.ending();
+        match job {
+            Job::Attempt(attempt, _) => {
+                self.running.remove(&attempt);
+                let origin = core.ended(now, attempt, ending, reply.note, reply.report);
+                if let Some(origin) = origin {
+                    self.served.push(Served { origin, request: attempt.request, reply: reply.body });
+                }
+            }
+            Job::Probe(asked) => {
+                debug!(%node, took = now.saturating_sub(asked), ?reply.report, "probed");
+                core.probed(node.clone(), (ending == Ending::Success).then_some(reply.report));
+            }
         }
     }
 
@@ -317,7 +340,7 @@
                 }
             }
             (State::Busy(job, reply, _), b'T' | b'D' | b'C' | b'E' | b'I' | b'Z') => {
-                reply.take(&message, matches!(job, Job::Probe));
+                reply.take(&message, matches!(job, Job::Probe(_)));
             }
             (State::Greeting, b'E') => refused = Some(pgwire::error_code(message.body) == code::TURNED_AWAY),
             _ => {
@@ -344,26 +367,19 @@
     fn ready(&mut self, key: Key, now: Time, core: &mut Core) {
         let Some(backend) = self.backends.get_mut(key) else { return };
         let id = backend.node.clone();
-        let node = self.nodes.get_mut(&id).expect("a node of a connection is kept");
         match std::mem::replace(&mut backend.state, State::Idle) {
-            State::Greeting => node.coming -= 1,
-            State::Busy(Job::Attempt(attempt, _), reply, written) => {
-                self.running.remove(&attempt);
-                let ending = reply.ending();
-                let origin = core.ended(now, attempt, ending, reply.note, reply.report);
-                if let Some(origin) = origin {
-                    self.served.push(Served { origin, request: attempt.request, reply: reply.body });
-                }
+            State::Greeting => {
+                let node = self.nodes.get_mut(&id).expect("a node of a connection is kept");
+                node.coming -= 1;
+            }
+            State::Busy(job, reply, written) => {
+                self.finish(job, reply, &id, now, core);
                 if !written {
                     // It answered what it has not been sent whole: nothing after that can be trusted.
                     self.drop_backend(key, core);
                     return;
                 }
             }
-            State::Busy(Job::Probe, reply, _) => {
-                let told = (reply.ending() == Ending::Success).then_some(reply.report);
-                core.probed(id.clone(), told);
-            }
             State::Dialing | State::Idle => {}
         }
         self.next_job(key, &id, now, core);
@@ -372,6 +388,12 @@
     /// Gives a connection that is free to the next job, or keeps it.
     fn next_job(&mut self, key: Key, id: &NodeId, now: Time, core: &mut Core) {
         while let Some(job) = self.nodes.get_mut(id).and_then(|n| n.waiting.pop_front()) {
+            // Danger: a db node may close after an answer, and what is written to it then ends as a reset.
+            if !self.backends.get(key).is_some_and(|b| b.stream.unread().is_empty() && b.stream.quiet()) {
+                self.nodes.get_mut(id).expect("looked up above").waiting.push_front(job);
+                self.drop_backend(key, core);
+                return self.dial_failed(id, Ending::Unreachable, now, core);
+            }
             match job {
                 Job::Attempt(attempt, _) if !core.still_fits(attempt, now) => {
                     Self::fail(job, id, Ending::Void, now, core);
@@ -454,6 +476,11 @@
         }
     }
 
+    /// Whether it says what became of the request, though no more may come.
+    fn tells(&self) -> bool {
+        self.error.is_some() || self.complete
+    }
+
     fn ending(&self) -> Ending {
         match self.error.as_deref() {
             Some(code::READ_ONLY | code::TOO_OLD) => Ending::Missed,
--- a/router/tests/exchanges.rs
+++ b/router/tests/exchanges.rs
@@ -263,4 +263,6 @@
     gone_client,
     silent_agent,
     many_queries,
+    fatal_refusal,
+    closing_node,
 );
