--- a/router/tests/exchanges.rs
+++ b/router/tests/exchanges.rs
@@ -11,6 +11,7 @@
 //! | `p closed`, `r1 close` | closes a db node's listener, or a connection |
 //! | `router term`, `router exit` | sends SIGTERM; waits for the program's end |
 
+use socket2::SockRef;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::fs;
@@ -18,6 +19,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
+use std::sync::mpsc;
 use std::time::Duration;
 
 /// Far longer than any step takes; it only ends a test that would hang.
@@ -43,6 +45,8 @@
 
 struct Play {
     router: Child,
+    /// Told once the program's log has come to its end.
+    ended: mpsc::Receiver<()>,
     listen: SocketAddr,
     listeners: BTreeMap<&'static str, Option<TcpListener>>,
     peers: BTreeMap<String, TcpStream>,
@@ -64,6 +68,8 @@
         let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/exchanges");
         let mut config = fs::read_to_string(folder.join("config.json")).expect("the configuration");
         for (who, listener) in &listeners {
+            // On this system the time-out of reads is that of accepting too.
+            SockRef::from(listener).set_read_timeout(Some(HANGS)).expect("a time-out");
             let address = listener.local_addr().expect("bound").to_string();
             config = config.replace(&format!("{{{who}}}"), &address);
         }
@@ -80,10 +86,15 @@
             .map_while(Result::ok)
             .find_map(|line| line.split_once("listen=").and_then(|(_, address)| address.trim().parse().ok()));
         // The log is read to its end, or the program would wait for a reader.
-        std::thread::spawn(move || log.for_each(drop));
+        let (ends, ended) = mpsc::channel();
+        std::thread::spawn(move || {
+            log.for_each(drop);
+            // The test may have ended before the program did.
+            let _ = ends.send(());
+        });
         let listeners = listeners.map(|(who, listener)| (who, Some(listener))).into();
         let listen = address.expect("it says where it listens");
-        Play { router, listen, listeners, peers: BTreeMap::new(), told: String::new() }
+        Play { router, ended, listen, listeners, peers: BTreeMap::new(), told: String::new() }
     }
 
     fn step(&mut self, line: &str) {
@@ -94,6 +105,7 @@
                 assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill runs").success());
             }
             ("router", _) => {
+                self.ended.recv_timeout(HANGS).expect("the router ends");
                 let status = self.router.wait().expect("it ends");
                 writeln!(self.told, "router ended with {:?}", status.code()).expect("text");
             }
