At the limit of clients, shed an idle one only for a newcomer that is there

Seen: a new test of the descriptor limit (64, so 20 clients) had a second idle client closed for one newcomer. Checked with the test's transcript: after the newcomer was welcomed, the next pass of the accept loop closed another client before it found no one waiting. Lines at fault: the order in front/pg.rs accept(), which made room before it accepted. Now it accepts first.

The exchanges also start the program with faulty configurations, and a connection that stays open where an exchange waits for its end fails the test instead of passing it after the time-out.

--- a/router/src/front/pg.rs
+++ b/router/src/front/pg.rs
@@ -136,13 +136,18 @@
     /// Takes in the connections that wait at the listener.
     pub fn accept(&mut self, now: Time, core: &mut Core) {
         loop {
-            let full = self.clients.len() >= self.most;
-            if full && !self.shed(core) && self.clients.len() >= self.most + REFUSALS.0 {
+            if self.clients.len() >= self.most + REFUSALS.0 {
                 return self.pause_accepting(now, core);
             }
             let Some(listener) = &self.listener else { return };
             match listener.accept() {
-                Ok((socket, _)) => self.admit(socket, now, core),
+                Ok((socket, _)) => {
+                    // Only now is it certain that someone needs the place of an idle client.
+                    if self.clients.len() >= self.most {
+                        self.shed(core);
+                    }
+                    self.admit(socket, now, core);
+                }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                 // Danger: with no descriptor left the listener stays readable, and the loop would spin on it.
@@ -196,23 +201,22 @@
         }
     }
 
-    /// Closes the client that has been idle for longest; false where all are busy.
-    fn shed(&mut self, core: &mut Core) -> bool {
+    /// Closes the client that has been idle for longest, where one is.
+    fn shed(&mut self, core: &mut Core) {
         let idle = self.clients.iter().filter(|(_, c)| c.phase == Phase::Ready && c.idle());
-        let Some((key, _)) = idle.min_by_key(|(_, c)| c.touched) else { return false };
-        self.close_idle(key, core)
+        if let Some((key, _)) = idle.min_by_key(|(_, c)| c.touched) {
+            self.close_idle(key, core);
+        }
     }
 
     /// Closes a client between requests, unless one has just come.
-    fn close_idle(&mut self, key: Key, core: &mut Core) -> bool {
-        let Some(client) = self.clients.get_mut(key) else { return false };
+    fn close_idle(&mut self, key: Key, core: &mut Core) {
+        let Some(client) = self.clients.get_mut(key) else { return };
         // Danger: closing with a request unread in the kernel's buffer loses it; so a last look is taken first.
         if client.stream.fill() == Peer::Open && !client.stream.unread().is_empty() {
-            self.mark(key);
-            return false;
+            return self.mark(key);
         }
         self.close(key, core);
-        true
     }
 
     /// The one place where a client's connection is given back.
--- a/router/tests/exchanges.rs
+++ b/router/tests/exchanges.rs
@@ -15,7 +15,7 @@
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::fs;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
@@ -62,11 +62,12 @@
 }
 
 impl Play {
-    fn start(name: &str) -> Self {
+    fn start(name: &str, sockets: u32) -> Self {
         let listeners =
             ["agent", "p", "r"].map(|who| (who, TcpListener::bind("127.0.0.1:0").expect("a port")));
         let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/exchanges");
         let mut config = fs::read_to_string(folder.join("config.json")).expect("the configuration");
+        config = config.replace("\"sockets\":1024", &format!("\"sockets\":{sockets}"));
         for (who, listener) in &listeners {
             // On this system the time-out of reads is that of accepting too.
             SockRef::from(listener).set_read_timeout(Some(HANGS)).expect("a time-out");
@@ -114,8 +115,9 @@
                 self.keep(who, stream);
             }
             (_, ("accept", listener)) => {
-                let stream =
-                    self.listeners[listener].as_ref().expect("still open").accept().expect("accepts").0;
+                let accepted = self.listeners[listener].as_ref().expect("still open").accept();
+                let (stream, _) =
+                    accepted.unwrap_or_else(|e| panic!("{line}: {e}; before that:\n{}", self.told));
                 self.keep(who, stream);
             }
             (_, ("closed", _)) => *self.listeners.get_mut(who).expect("a listener") = None,
@@ -126,7 +128,13 @@
             (_, (_, "closed")) => {
                 let mut rest = Vec::new();
                 // A reset ends a connection as well as a close does.
-                let _ = (&self.peers[who]).read_to_end(&mut rest);
+                let ended = (&self.peers[who]).read_to_end(&mut rest).map_err(|e| e.kind());
+                assert_ne!(
+                    ended,
+                    Err(ErrorKind::WouldBlock),
+                    "{who} stays open; before that:\n{}",
+                    self.told
+                );
                 self.note(who, &rest, " then the end");
             }
             (_, (_, "http")) => {
@@ -246,7 +254,7 @@
 fn play(name: &str) {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/exchanges").join(format!("{name}.txt"));
     let script = fs::read_to_string(path).expect("the exchange");
-    let mut play = Play::start(name);
+    let mut play = Play::start(name, 1024);
     for line in script.lines().filter(|line| !line.is_empty() && !line.starts_with('#')) {
         play.step(line);
     }
@@ -278,3 +286,41 @@
     fatal_refusal,
     closing_node,
 );
+
+/// Danger: at the limit of descriptors a router that can't accept would spin, or leave clients without a word.
+#[test]
+fn at_the_limit_idle_clients_give_way_and_others_are_told() {
+    let mut play = Play::start("limit", 64);
+    // Of 64 descriptors 20 are for clients.
+    for client in (1..=20).map(|number| format!("c{number}")) {
+        for step in ["connect", "> {startup}", "< Z"] {
+            play.step(&format!("{client} {step}"));
+        }
+    }
+    play.told.clear();
+    for step in ["late connect", "late > {startup}", "late < Z", "c1 < closed"] {
+        play.step(step);
+    }
+    for client in (2..=20).map(|number| format!("c{number}")).chain(["late".to_string()]) {
+        play.step(&format!("{client} > Q|{{look}}\\0"));
+    }
+    for step in ["later connect", "later > {startup}", "later < closed"] {
+        play.step(step);
+    }
+    insta::assert_snapshot!("limit", play.told);
+}
+
+#[test]
+fn a_faulty_configuration_is_one_line_and_no_start() {
+    let run = |path: Option<&Path>| {
+        let mut router = Command::new(env!("CARGO_BIN_EXE_plovercove"));
+        router.env_remove("PROXY_CONFIG").envs(path.map(|path| ("PROXY_CONFIG", path)));
+        let out = router.output().expect("the router starts");
+        assert_eq!((out.status.code(), out.stdout.len()), (Some(1), 0));
+        String::from_utf8(out.stderr).expect("text")
+    };
+    assert_eq!(run(None), "plovercove: PROXY_CONFIG is missing\n");
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join("faulty.json");
+    fs::write(&path, r#"{"limits":{"sockets":"many"}}"#).expect("a place for the configuration");
+    assert_eq!(run(Some(&path)), "plovercove: limits.sockets: expected a number, got \"many\"\n");
+}
