--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -285,3 +285,76 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const NOW: Time = 1_000_000_000;
+
+    /// A core with one write on its way to the primary.
+    fn writing() -> (Core, AttemptId) {
+        let class = Class {
+            name: "book".into(),
+            access: Access::Write,
+            aim: 400_000,
+            aim_stretch: 0.0,
+            deadline: 5_000_000,
+            worth: 1.0,
+            late_worth: 0.0,
+            effect: Effect::AtMostOnce,
+            scope: RepeatScope::Group,
+            window: 0,
+            stream: false,
+        };
+        let mut core =
+            Core::new(Settings { classes: vec![class], may_cancel: true, ..Settings::default() }, 1);
+        let primary =
+            NodeEntry { node: "p".into(), primary: true, group: 1, weight: 1.0, ..NodeEntry::default() };
+        core.list(ListUpdate::Full(vec![primary]));
+        let demand = Demand { group: 1, left: 5_000_000, ..Demand::default() };
+        core.request(Key::from_number(7), demand);
+        let sent = core.decide(NOW).into_iter().find_map(|command| match command {
+            Command::Send { attempt, .. } => Some(attempt),
+            _ => None,
+        });
+        (core, sent.expect("the primary is known"))
+    }
+
+    fn answers(commands: &[Command]) -> Vec<Answer> {
+        let answer = |c: &Command| if let Command::Answer { answer, .. } = c { Some(*answer) } else { None };
+        commands.iter().filter_map(answer).collect()
+    }
+
+    #[test]
+    fn a_write_that_may_have_run_is_never_called_harmless() {
+        // Danger: the client would send it again, and a seat would be booked twice.
+        let (mut core, attempt) = writing();
+        core.written(attempt);
+        core.answer(attempt.request, Answer::Refused(None));
+        core.answer(attempt.request, Answer::Failed);
+        assert_eq!(answers(&core.commands), [Answer::Failed], "one answer, and no refusal");
+    }
+
+    #[test]
+    fn an_attempt_that_was_never_written_whole_did_not_run() {
+        let (mut core, attempt) = writing();
+        core.timed_out(attempt, NOW + 400_000);
+        let ended = core.events.iter().find_map(|event| match event {
+            Event::Outcome { ending, .. } => Some(*ending),
+            _ => None,
+        });
+        assert_eq!(ended, Some(Ending::Unreachable));
+        assert!(matches!(core.commands[..], [Command::GiveUp { .. }]));
+    }
+
+    #[test]
+    fn a_client_that_has_gone_is_owed_nothing_and_its_slot_comes_back() {
+        let (mut core, attempt) = writing();
+        core.gone(attempt.request);
+        assert_eq!((answers(&core.decide(NOW + 1)).len(), core.held()), (0, 1), "its attempt is still out");
+        let said = Standing::default();
+        assert_eq!(core.ended(NOW + 2, attempt, Ending::Success, said, said), None);
+        assert_eq!(core.held(), 0);
+    }
+}
