Catch SIGHUP and move to the discovery that the reread file names

Ruled out: the config reader itself (it was never reached) and SIGTERM's way out, which is caught. At fault: net/mod.rs registered SIGTERM alone, and the agent's address was fixed at the start.

Both signals are now caught before the file is read the first time and share one socket of the loop, with a flag each. A reload reads the file again, lets its `discovery` go before PROXY_DISCOVERY, drops the old watch and asks the new agent for its whole list; until that is told the old list serves. What is wrong with the file is one line, and nothing changes. A whole list now also retires the db nodes that it does not name: their idle connections are closed, and the pool loses a gone node once nothing is out there.

Checked: the exchange `reload` fails without the change (the program ends at the first SIGHUP).

--- a/router/src/config.rs
+++ b/router/src/config.rs
@@ -43,9 +43,18 @@
 
 /// Reads the file named by `PROXY_CONFIG`; the other variables go before what it says.
 pub fn read() -> Read<Config> {
+    from_file(|name| env::var(name).ok())
+}
+
+/// Reads the file again. What a variable said of discovery at the start is out of date now: the file goes before it.
+pub fn reread() -> Read<Config> {
+    from_file(|name| if name == "PROXY_DISCOVERY" { None } else { env::var(name).ok() })
+}
+
+fn from_file(variable: impl Fn(&str) -> Option<String>) -> Read<Config> {
     let path = env::var("PROXY_CONFIG").map_err(|_| Fault::new("PROXY_CONFIG is missing"))?;
     let json = fs::read(&path).map_err(|e| Fault::new(format!("PROXY_CONFIG: cannot read {path}: {e}")))?;
-    from_json(json, |name| env::var(name).ok())
+    from_json(json, variable)
 }
 
 fn from_json(json: Vec<u8>, variable: impl Fn(&str) -> Option<String>) -> Read<Config> {
--- a/router/src/discovery.rs
+++ b/router/src/discovery.rs
@@ -92,6 +92,16 @@
         self.call(now, core);
     }
 
+    /// Goes on at another agent. The list stays until that one has told its own, whole: its versions may be counted
+    /// differently.
+    pub fn move_to(&mut self, agent: SocketAddr, now: Time, core: &mut Core) {
+        if agent == self.agent {
+            return;
+        }
+        (self.agent, self.stream, self.index, self.failing) = (agent, None, None, false);
+        self.call(now, core);
+    }
+
     fn set_deadline(&mut self, at: Time, core: &mut Core) {
         core.deadlines.set(&mut self.deadline, Due::Discovery, Some(at));
     }
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -15,6 +15,14 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
+    // Danger: a signal that comes before it is caught ends the process, whatever it was meant to say.
+    let signals = match net::signals::Signals::catch() {
+        Ok(signals) => signals,
+        Err(e) => {
+            eprintln!("plovercove: cannot catch signals: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
     let config = match config::read() {
         Ok(config) => config,
         Err(fault) => {
@@ -28,7 +36,7 @@
         .with_target(false)
         .with_max_level(config.log)
         .init();
-    match net::Router::new(config).and_then(net::Router::run) {
+    match net::Router::new(config, signals).and_then(net::Router::run) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             tracing::error!("cannot go on: {e}");
--- a/router/src/net/mod.rs
+++ b/router/src/net/mod.rs
@@ -1,10 +1,11 @@
 //! The one loop: it waits on the poller, hands what has come to the parts, lets the module decide, and carries that out.
 
 pub mod budget;
+pub mod signals;
 pub mod stream;
 
 use crate::clock::Clock;
-use crate::config::Config;
+use crate::config::{self, Config};
 use crate::core::{Command, Core};
 use crate::deadlines::Due;
 use crate::discovery::{Discovery, Listing};
@@ -12,14 +13,14 @@
 use crate::table::Key;
 use crate::upstream::pg::Upstream;
 use plovercove::{ListUpdate, Listed, Time};
-use plovercove_poller::{Events, Interest, Poll, Registered};
+use plovercove_poller::{Events, Poll};
 use plovercove_settings::Names;
+use signals::{Registration, Signal, Signals};
 use socket2::{Domain, Socket, Type};
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::os::unix::net::UnixStream;
 use std::time::Duration;
-use tracing::{debug, info};
+use tracing::{debug, info, warn};
 
 /// After SIGTERM new connections are taken in for so long.
 const STILL_ACCEPTING: Time = 500_000;
@@ -69,7 +70,7 @@
 pub struct Router {
     clock: Clock,
     poll: Poll,
-    signal: Registered<UnixStream>,
+    signals: Registration,
     core: Core,
     front: Front,
     upstream: Upstream,
@@ -79,18 +80,15 @@
 
 impl Router {
     /// A router that listens, and knows the list that it was given.
-    pub fn new(config: Config) -> io::Result<Self> {
+    pub fn new(config: Config, signals: Signals) -> io::Result<Self> {
         let poll = Poll::new()?;
-        let (ours, theirs) = UnixStream::pair()?;
-        ours.set_nonblocking(true)?;
-        signal_hook::low_level::pipe::register(signal_hook::consts::SIGTERM, theirs)?;
-        let signal = poll.register(ours, poll_key(Source::Signal, None), Interest::Read)?;
+        let signals = signals.register(&poll)?;
         let listener = TcpListener::bind(config.listen)?;
         let listen = listener.local_addr()?;
         let settings = config.settings;
         let mut router = Router {
             clock: Clock::new(),
-            signal,
+            signals,
             front: Front::new(&poll, listener, config.clients, config.statements, Names::of(&settings))?,
             upstream: Upstream::new(
                 &poll,
@@ -148,7 +146,12 @@
             }
         }
         for _ in of(Source::Signal) {
-            self.terminate(now);
+            for signal in self.signals.take() {
+                match signal {
+                    Signal::Reload => self.reload(now),
+                    Signal::Stop => self.terminate(now),
+                }
+            }
         }
         for (key, _) in of(Source::Backend) {
             self.upstream.event(key, now, &mut self.core);
@@ -219,6 +222,10 @@
     }
 
     fn list(&mut self, listing: Listing, restored: bool) {
+        if listing.whole {
+            let named = listing.entries.iter().map(|(entry, _)| &entry.node).collect();
+            self.upstream.keep_only(&named, &mut self.core);
+        }
         let mut entries = Vec::with_capacity(listing.entries.len());
         for (entry, address) in listing.entries {
             debug!(node = %entry.node, group = entry.group, state = ?entry.state, primary = entry.primary, "listed");
@@ -226,10 +233,11 @@
                 self.upstream.locate(&entry.node, address, &mut self.core);
             }
             if entry.state != Listed::Serving {
-                self.upstream.close_idle(&entry.node, &mut self.core);
+                self.upstream.retire(&entry.node, entry.state == Listed::Gone, &mut self.core);
             }
             entries.push(entry);
         }
+        self.upstream.forget_gone();
         self.core.list(match (restored, listing.whole) {
             (true, _) => ListUpdate::Restored(entries),
             (false, true) => ListUpdate::Full(entries),
@@ -237,12 +245,19 @@
         });
     }
 
+    /// Takes over what a running router can; a file that is no good leaves all as it was.
+    fn reload(&mut self, now: Time) {
+        match config::reread() {
+            Ok(config) => {
+                info!(discovery = %config.discovery, "SIGHUP: the configuration was read again");
+                self.discovery.move_to(config.discovery, now, &mut self.core);
+            }
+            Err(fault) => warn!("SIGHUP: {fault}; the configuration stays as it was"),
+        }
+    }
+
     fn terminate(&mut self, now: Time) {
         info!(held = self.core.held(), "SIGTERM: finishing what has been taken on");
-        // Left readable, it would wake the loop over and over.
-        if let Err(e) = self.signal.want(Interest::Nothing) {
-            debug!("the signal's interest cannot be changed: {e}");
-        }
         self.core.deadlines.add(now + STILL_ACCEPTING, Due::Stop);
     }
 }
--- /dev/null
+++ b/router/src/net/signals.rs
@@ -0,0 +1,67 @@
+//! The signals that the program answers to, as a socket of the loop.
+
+use super::{Source, poll_key};
+use plovercove_poller::{Interest, Poll, Registered};
+use signal_hook::consts::{SIGHUP, SIGTERM};
+use std::io::{self, ErrorKind, Read};
+use std::os::unix::net::UnixStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+/// What a signal asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    /// SIGHUP: read the configuration again.
+    Reload,
+    /// SIGTERM: finish.
+    Stop,
+}
+
+/// The signals that came and have not been taken.
+pub struct Signals {
+    flags: [(Signal, Arc<AtomicBool>); 2],
+    woken: UnixStream,
+}
+
+/// The same, on the poller.
+pub struct Registration {
+    flags: [(Signal, Arc<AtomicBool>); 2],
+    woken: Registered<UnixStream>,
+}
+
+impl Signals {
+    /// Catches the signals from now on. Until then any of them ends the process.
+    pub fn catch() -> io::Result<Self> {
+        let (woken, wakes) = UnixStream::pair()?;
+        woken.set_nonblocking(true)?;
+        let flags = [(SIGHUP, Signal::Reload), (SIGTERM, Signal::Stop)].map(|(number, signal)| {
+            let flag = Arc::new(AtomicBool::new(false));
+            // Danger: woken before the flag is up, the loop would find nothing and sleep on. Actions run in this order.
+            signal_hook::flag::register(number, Arc::clone(&flag))?;
+            signal_hook::low_level::pipe::register(number, wakes.try_clone()?)?;
+            Ok::<_, io::Error>((signal, flag))
+        });
+        let [reload, stop] = flags;
+        Ok(Signals { flags: [reload?, stop?], woken })
+    }
+
+    /// Lets the poller tell of them.
+    pub fn register(self, poll: &Poll) -> io::Result<Registration> {
+        let woken = poll.register(self.woken, poll_key(Source::Signal, None), Interest::Read)?;
+        Ok(Registration { flags: self.flags, woken })
+    }
+}
+
+impl Registration {
+    /// What has come since the last call.
+    pub fn take(&mut self) -> Vec<Signal> {
+        let mut bytes = [0; 64];
+        // Left readable, it would wake the loop over and over.
+        while match (&*self.woken).read(&mut bytes) {
+            Ok(count) => count > 0,
+            Err(e) => e.kind() == ErrorKind::Interrupted,
+        } {}
+        let came = self.flags.iter().filter(|(_, flag)| flag.swap(false, Ordering::AcqRel));
+        came.map(|(signal, _)| *signal).collect()
+    }
+}
--- a/router/src/upstream/pg.rs
+++ b/router/src/upstream/pg.rs
@@ -9,7 +9,7 @@
 use crate::table::{Key, Table};
 use plovercove::{Ending, NodeId, Role, Span, Standing, Time};
 use plovercove_poller::{Interest, Poll};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -67,6 +67,8 @@
     /// Jobs without a connection, and connections under way.
     waiting: VecDeque<Job>,
     coming: usize,
+    /// No list names it any more.
+    gone: bool,
 }
 
 /// A reply that is a request's final answer.
@@ -115,11 +117,35 @@
     /// Discovery says where a node is now; connections to where it was are no good.
     pub fn locate(&mut self, node: &NodeId, address: SocketAddr, core: &mut Core) {
         let known = self.nodes.entry(node.clone()).or_default();
+        known.gone = false;
         if known.address.replace(address).is_some_and(|old| old != address) {
             self.close_idle(node, core);
         }
     }
 
+    /// A node is to get nothing new; one that is gone is forgotten in time.
+    pub fn retire(&mut self, node: &NodeId, gone: bool, core: &mut Core) {
+        self.close_idle(node, core);
+        if let Some(node) = self.nodes.get_mut(node) {
+            node.gone = gone;
+        }
+    }
+
+    /// A whole list has come: a node that it does not name is gone.
+    pub fn keep_only(&mut self, named: &BTreeSet<&NodeId>, core: &mut Core) {
+        let absent: Vec<NodeId> = self.nodes.keys().filter(|id| !named.contains(id)).cloned().collect();
+        for node in absent {
+            self.retire(&node, true, core);
+        }
+    }
+
+    /// Loses the nodes that are gone, once nothing is out there. Danger: over days of replacements the table would
+    /// grow without end.
+    pub fn forget_gone(&mut self) {
+        let used: BTreeSet<&NodeId> = self.backends.iter().map(|(_, b)| &b.node).collect();
+        self.nodes.retain(|id, node| !node.gone || !node.waiting.is_empty() || used.contains(id));
+    }
+
     /// Closes the idle connections to a node.
     pub fn close_idle(&mut self, node: &NodeId, core: &mut Core) {
         let idle = self.nodes.get_mut(node).map(|n| std::mem::take(&mut n.idle)).unwrap_or_default();
--- a/router/tests/exchanges.rs
+++ b/router/tests/exchanges.rs
@@ -10,6 +10,8 @@
 //! | `c1 < closed` | reads up to the end of the connection |
 //! | `p closed`, `r1 close` | closes a db node's listener, or a connection |
 //! | `router term`, `router exit` | sends SIGTERM; waits for the program's end |
+//! | `router reload WHO` | puts that listener's address in the place of the agent's and sends SIGHUP; `broken` cuts the file short |
+//! | `router says WORDS` | waits for a line of the log that holds these words |
 
 use socket2::SockRef;
 use std::collections::BTreeMap;
@@ -17,7 +19,7 @@
 use std::fs;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc;
 use std::time::Duration;
@@ -45,8 +47,10 @@
 
 struct Play {
     router: Child,
-    /// Told once the program's log has come to its end.
-    ended: mpsc::Receiver<()>,
+    /// The configuration: where it lies and what it said at the start.
+    config: (PathBuf, String),
+    /// The program's log, a line each; it ends with the program.
+    log: mpsc::Receiver<String>,
     listen: SocketAddr,
     listeners: BTreeMap<&'static str, Option<TcpListener>>,
     peers: BTreeMap<String, TcpStream>,
@@ -64,7 +68,7 @@
 impl Play {
     fn start(name: &str, sockets: u32) -> Self {
         let listeners =
-            ["agent", "p", "r"].map(|who| (who, TcpListener::bind("127.0.0.1:0").expect("a port")));
+            ["agent", "next", "p", "r"].map(|who| (who, TcpListener::bind("127.0.0.1:0").expect("a port")));
         let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/exchanges");
         let mut config = fs::read_to_string(folder.join("config.json")).expect("the configuration");
         config = config.replace("\"sockets\":1024", &format!("\"sockets\":{sockets}"));
@@ -75,7 +79,7 @@
             config = config.replace(&format!("{{{who}}}"), &address);
         }
         let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.json"));
-        fs::write(&path, config).expect("a place for the configuration");
+        fs::write(&path, &config).expect("a place for the configuration");
         let mut router = Command::new(env!("CARGO_BIN_EXE_plovercove"))
             .env("PROXY_CONFIG", &path)
             .stderr(Stdio::piped())
@@ -87,26 +91,49 @@
             .map_while(Result::ok)
             .find_map(|line| line.split_once("listen=").and_then(|(_, address)| address.trim().parse().ok()));
         // The log is read to its end, or the program would wait for a reader.
-        let (ends, ended) = mpsc::channel();
+        let (lines, read) = mpsc::channel();
         std::thread::spawn(move || {
-            log.for_each(drop);
             // The test may have ended before the program did.
-            let _ = ends.send(());
+            log.map_while(Result::ok).for_each(|line| drop(lines.send(line)));
         });
         let listeners = listeners.map(|(who, listener)| (who, Some(listener))).into();
         let listen = address.expect("it says where it listens");
-        Play { router, ended, listen, listeners, peers: BTreeMap::new(), told: String::new() }
+        Play {
+            router,
+            config: (path, config),
+            log: read,
+            listen,
+            listeners,
+            peers: BTreeMap::new(),
+            told: String::new(),
+        }
     }
 
     fn step(&mut self, line: &str) {
         let (who, what) = line.split_once(' ').expect("who and what");
         match (who, what.split_once(' ').unwrap_or((what, ""))) {
-            ("router", ("term", _)) => {
-                let id = self.router.id().to_string();
-                assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill runs").success());
+            ("router", ("term", _)) => self.signal("-TERM"),
+            ("router", ("reload", to)) => {
+                let (path, config) = &self.config;
+                let address = |who: &str| {
+                    let listener = self.listeners[who].as_ref().expect("still open");
+                    listener.local_addr().expect("bound").to_string()
+                };
+                let changed = match to {
+                    "broken" => config[..config.len() / 2].to_string(),
+                    to => config.replace(&address("agent"), &address(to)),
+                };
+                fs::write(path, changed).expect("a place for the configuration");
+                self.signal("-HUP");
             }
+            ("router", ("says", words)) => loop {
+                let line = self.log.recv_timeout(HANGS).unwrap_or_else(|e| panic!("{line}: {e}"));
+                if line.contains(words) {
+                    break;
+                }
+            },
             ("router", _) => {
-                self.ended.recv_timeout(HANGS).expect("the router ends");
+                while let Ok(_line) = self.log.recv_timeout(HANGS) {}
                 let status = self.router.wait().expect("it ends");
                 writeln!(self.told, "router ended with {:?}", status.code()).expect("text");
             }
@@ -163,6 +190,11 @@
         }
     }
 
+    fn signal(&self, name: &str) {
+        let id = self.router.id().to_string();
+        assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
+    }
+
     fn keep(&mut self, who: &str, stream: TcpStream) {
         stream.set_read_timeout(Some(HANGS)).expect("a time-out");
         self.peers.insert(who.to_string(), stream);
@@ -285,6 +317,7 @@
     many_queries,
     fatal_refusal,
     closing_node,
+    reload,
 );
 
 /// Danger: at the limit of descriptors a router that can't accept would spin, or leave clients without a word.
