--- a/router/src/config.rs
+++ b/router/src/config.rs
@@ -12,8 +12,8 @@
 const SOCKETS: u64 = 1_024;
 /// Descriptors for all but connections: standard streams, poller, listener, signals, discovery, and some spare.
 const RESERVED: u64 = 24;
-/// Memory in MB where no limit is told, and the share of it that waiting statements may take up.
-const MEMORY: (f64, f64) = (192.0, 0.25);
+/// Memory in MB where no limit is told, and the share of it that all buffered bytes may take up.
+const MEMORY: (f64, f64) = (192.0, 0.4);
 /// The least of descriptors and memory that the router can work with.
 const LEAST: (u64, f64) = (64, 32.0);
 
@@ -33,8 +33,8 @@
     pub clients: usize,
     /// The most connections to db nodes.
     pub backends: usize,
-    /// The most bytes of statements that wait for their answers.
-    pub statements: usize,
+    /// The most bytes held for clients and db nodes.
+    pub buffered: usize,
     /// How much is logged.
     pub log: tracing::Level,
     /// What the module is told.
@@ -92,7 +92,7 @@
         seed: top.maybe("seed", seed)?.unwrap_or(1),
         clients: clients as usize,
         backends: (sockets - RESERVED - clients) as usize,
-        statements: (memory * MEMORY.1 * 1e6) as usize,
+        buffered: (memory * MEMORY.1 * 1e6) as usize,
         log: match variable("PROXY_LOG") {
             Some(word) => word.parse().map_err(|_| {
                 Fault::new(format!("PROXY_LOG: expected error, warn, info, debug or trace, got {word:?}"))
--- a/router/src/discovery.rs
+++ b/router/src/discovery.rs
@@ -6,6 +6,7 @@
 use crate::clock;
 use crate::core::Core;
 use crate::deadlines::Due;
+use crate::net::budget::Budget;
 use crate::net::stream::{Peer, Stream};
 use crate::net::{Source, begin_connect, poll_key};
 use plovercove::{Listed, NodeEntry, Time};
@@ -108,7 +109,9 @@
 
     fn connect(&self) -> io::Result<Stream> {
         let socket = begin_connect(self.agent)?;
-        Stream::new(&self.poll, socket, poll_key(Source::Discovery, None), Interest::Write, LONGEST)
+        let key = poll_key(Source::Discovery, None);
+        // Whatever clients hold, the list must come through.
+        Stream::new(&self.poll, &Budget::new(LONGEST), socket, key, Interest::Write, LONGEST)
     }
 
     fn call(&mut self, now: Time, core: &mut Core) {
@@ -125,7 +128,7 @@
         };
         let request =
             format!("GET {path} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", self.agent);
-        stream.output().extend_from_slice(request.as_bytes());
+        stream.put(|out| out.extend_from_slice(request.as_bytes()));
         self.set_deadline(now + clock::from_ms(wait) + PATIENCE, core);
         if let Some(stream) = self.stream.as_mut().filter(|s| s.connected()) {
             // What can't be written yet goes once there is room.
@@ -167,7 +170,7 @@
         let peer = stream.fill();
         loop {
             let Some(stream) = &mut self.stream else { return found };
-            match answer(stream.unread(), peer == Peer::Gone) {
+            match answer(stream.unread(), peer != Peer::Open) {
                 Ok(None) => break,
                 Ok(Some((body, length))) => {
                     stream.take(length);
@@ -179,7 +182,7 @@
                             debug!(index = listing.index, entries = listing.entries.len(), "list");
                             self.index = Some(listing.index);
                             found.push(listing);
-                            if peer == Peer::Gone {
+                            if peer != Peer::Open {
                                 self.stream = None;
                             }
                             self.call(now, core);
@@ -189,11 +192,11 @@
                 }
                 Err(cause) => self.failed(&cause, now, core),
             }
-            if peer == Peer::Gone {
+            if peer != Peer::Open {
                 return found;
             }
         }
-        if peer == Peer::Gone {
+        if peer != Peer::Open {
             self.failed("the agent closed the connection", now, core);
         }
         found
--- a/router/src/front/pg.rs
+++ b/router/src/front/pg.rs
@@ -3,7 +3,7 @@
 use crate::clock;
 use crate::core::{Answer, Core};
 use crate::deadlines::Due;
-use crate::net::budget::{Budget, Share};
+use crate::net::budget::{Budget, Buffer, Share};
 use crate::net::stream::{Peer, Stream};
 use crate::net::{Source, poll_key};
 use crate::pgwire::{self, Opening, Statement, code};
@@ -11,7 +11,10 @@
 use plovercove::{Access, Demand, Time};
 use plovercove_poller::{Interest, Poll, Registered};
 use plovercove_settings::Names;
-use std::collections::VecDeque;
+use socket2::SockRef;
+use std::collections::hash_map::RandomState;
+use std::collections::{BTreeSet, HashSet, VecDeque};
+use std::hash::BuildHasher;
 use std::io::ErrorKind;
 use std::mem;
 use std::net::TcpListener;
@@ -22,10 +25,32 @@
 const LONGEST: usize = 192 * 1024;
 /// Queries of one connection that may be unanswered, and bytes unsent, before no more are read.
 const PIPELINE: (usize, usize) = (16, 256 * 1024);
-/// How often a connection is looked over, which is also how long a silent peer may keep an answer or its opening.
-const LOOK: Time = 10_000_000;
-/// A connection idle for so long is closed: its client may have vanished without a word.
-const IDLE: Time = 600_000_000;
+/// Messages that one client may have read in a turn of the loop, and connections that are accepted in one.
+const TURN: (u32, u32) = (32, 64);
+/// From connecting until the first request has come whole. Danger: connections that say nothing, or trickle, would hold
+/// the places of those that have something to ask.
+const FIRST: Time = 2_000_000;
+/// From the first byte of a message to its last.
+const MESSAGE: Time = 2_000_000;
+/// How long answers may lie unread.
+const UNREAD: Time = 2_500_000;
+/// A connection without a request is kept for so long.
+const IDLE: Time = 5_000_000;
+/// What a client that has been dismissed still sends is read for so long and so many bytes: a close with bytes unread
+/// resets the connection, which may destroy the last answer on its way.
+const LEAVE: (Time, usize) = (1_000_000, 256 * 1024);
+/// Errors of protocol in a row that end a session.
+const FAULTS: u32 = 8;
+/// Connections that may wait to be accepted: hundreds may come at once.
+const BACKLOG: i32 = 1_024;
+/// A patience of more than so many times the class's deadline is no patience.
+const ABSURD: Time = 4;
+/// What is said to those who speak more of the protocol.
+const ONLY_SIMPLE: &str = "only simple queries are supported";
+/// Clients that are looked at for the one that gives up its place.
+const LAST_LOOKS: usize = 8;
+/// Ids of late that are remembered, at the most.
+const IDS: usize = 64 * 1024;
 /// Connections beyond the limit that are told so, and the pause in accepting when even they are too many.
 const REFUSALS: (usize, Time) = (8, 50_000);
 
@@ -45,7 +70,7 @@
 /// One thing that is owed to a client, in order.
 struct Pending {
     request: Option<Asked>,
-    answer: Option<Vec<u8>>,
+    answer: Option<Buffer>,
 }
 
 /// A request that the core has taken on.
@@ -55,12 +80,34 @@
     _share: Share,
 }
 
+/// Clients that could be closed, in the order in which they are when places run out.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Spare {
+    /// Dismissed, and only heard out.
+    Leaving,
+    /// It has asked for nothing yet.
+    Unasked,
+    /// Between requests.
+    Idle,
+}
+
 struct Client {
     stream: Stream,
     phase: Phase,
     pending: VecDeque<Pending>,
+    /// When it was accepted, when it last got on, and when the message that is under way began.
+    born: Time,
     touched: Time,
+    begun: Option<Time>,
+    /// Since when it is only heard out, and the bytes that it may still send.
+    leaving: Option<(Time, usize)>,
+    /// A request of its has been taken on.
+    asked: bool,
+    /// Errors of protocol since its last request.
+    faults: u32,
     look: Option<Time>,
+    /// Its place among those that could be closed.
+    spare: Option<(Spare, Time)>,
     /// It is on the list of those to be pumped.
     marked: bool,
 }
@@ -70,33 +117,93 @@
         self.pending.is_empty() && self.stream.unsent() == 0 && self.stream.unread().is_empty()
     }
 
+    /// How long it is waited for as things stand; what has been taken on has deadlines of its own.
+    fn until(&self) -> Option<Time> {
+        if self.stream.unsent() > 0 {
+            Some(self.touched + UNREAD)
+        } else if !self.pending.is_empty() {
+            None
+        } else if let Some((since, _)) = self.leaving {
+            Some(since + LEAVE.0)
+        } else if !self.asked {
+            Some(self.born + FIRST)
+        } else {
+            Some(self.begun.map_or(self.touched + IDLE, |at| at + MESSAGE))
+        }
+    }
+
+    /// Where it stands among those that could be closed.
+    fn spare(&self) -> Option<(Spare, Time)> {
+        let free = self.pending.is_empty() && self.stream.unsent() == 0;
+        let kind = match self.phase {
+            _ if !free => None,
+            Phase::Closing => self.leaving.map(|_| Spare::Leaving),
+            Phase::Refusing => None,
+            _ if !self.asked => Some(Spare::Unasked),
+            _ => self.idle().then_some(Spare::Idle),
+        };
+        kind.map(|kind| (kind, self.touched))
+    }
+
     /// Owes an answer that the router words itself.
-    fn say(&mut self, word: impl FnOnce(&mut Vec<u8>)) {
-        let mut answer = Vec::new();
-        word(&mut answer);
+    fn say(&mut self, words: &Words, word: impl FnOnce(&mut Vec<u8>)) {
+        let mut answer = words.budget.buffer();
+        answer.write(word);
         self.pending.push_back(Pending { request: None, answer: Some(answer) });
     }
 
-    /// An error that leaves the session standing.
-    fn object(&mut self, code: &str, text: &str) {
-        self.say(|out| {
+    /// An error that leaves the session standing, unless it is one of many.
+    fn object(&mut self, words: &Words, code: &str, text: &str) {
+        self.faults += 1;
+        if self.faults >= FAULTS {
+            return self.dismiss(words, code, text);
+        }
+        self.say(words, |out| {
             pgwire::put_error(out, false, code, text, None);
             pgwire::put_ready(out);
         });
     }
 
     /// An error that ends the session.
-    fn dismiss(&mut self, code: &str, text: &str) {
-        self.say(|out| pgwire::put_error(out, true, code, text, None));
+    fn dismiss(&mut self, words: &Words, code: &str, text: &str) {
+        self.say(words, |out| pgwire::put_error(out, true, code, text, None));
         self.phase = Phase::Closing;
     }
 }
 
+/// The ids of late. Every request has one of its own, so one that comes again is another client's, and what a db node
+/// makes for it may be the other's.
+struct Ids {
+    hasher: RandomState,
+    /// Those of this span and of the one before.
+    seen: [HashSet<u64>; 2],
+    span: Time,
+    until: Time,
+}
+
+impl Ids {
+    /// Remembers ids for this long at the least.
+    fn new(span: Time) -> Self {
+        Ids { hasher: RandomState::new(), seen: Default::default(), span, until: 0 }
+    }
+
+    /// Takes an id, unless it has been taken.
+    fn take(&mut self, id: &str, now: Time) -> bool {
+        if now >= self.until || self.seen[0].len() >= IDS {
+            self.seen.swap(0, 1);
+            self.seen[0].clear();
+            self.until = now + self.span;
+        }
+        let id = self.hasher.hash_one(id);
+        !self.seen[1].contains(&id) && self.seen[0].insert(id)
+    }
+}
+
 /// What a query is read with.
 struct Words {
     names: Names,
-    /// What statements that wait for their answers may take up together.
-    statements: Budget,
+    ids: Ids,
+    budget: Budget,
 }
 
 /// All clients, and the listener they come by.
@@ -107,23 +214,27 @@
     most: usize,
     words: Words,
     marked: Vec<Key>,
+    /// Those that could be closed, in the order in which they would be.
+    spare: BTreeSet<(Spare, Time, Key)>,
     draining: bool,
 }
 
 impl Front {
-    /// A front on this listener, for so many clients and bytes of statements.
+    /// A front on this listener, for so many clients, whose requests last no longer than this.
     pub fn new(
-        poll: &Poll, listener: TcpListener, most: usize, statements: usize, names: Names,
+        poll: &Poll, budget: &Budget, listener: TcpListener, most: usize, names: Names, longest: Time,
     ) -> std::io::Result<Self> {
         listener.set_nonblocking(true)?;
+        SockRef::from(&listener).listen(BACKLOG)?;
         let listener = poll.register(listener, poll_key(Source::Listener, None), Interest::Read)?;
         Ok(Front {
             poll: poll.clone(),
             listener: Some(listener),
             clients: Table::new(),
             most,
-            words: Words { names, statements: Budget::new(statements) },
+            words: Words { names, ids: Ids::new(longest * ABSURD), budget: budget.clone() },
             marked: Vec::new(),
+            spare: BTreeSet::new(),
             draining: false,
         })
     }
@@ -135,7 +246,7 @@
 
     /// Takes in the connections that wait at the listener.
     pub fn accept(&mut self, now: Time, core: &mut Core) {
-        loop {
+        for _ in 0..TURN.1 {
             if self.clients.len() >= self.most + REFUSALS.0 {
                 return self.pause_accepting(now, core);
             }
@@ -178,51 +289,75 @@
 
     fn admit(&mut self, socket: std::net::TcpStream, now: Time, core: &mut Core) {
         let phase = if self.clients.len() < self.most { Phase::Opening } else { Phase::Refusing };
-        let poll = &self.poll;
+        let (poll, budget) = (&self.poll, self.words.budget.clone());
         let made = self.clients.insert_with(|key| {
             let at = poll_key(Source::Client, Some(key));
-            let stream = Stream::new(poll, socket, at, Interest::Read, LONGEST + 8)?;
-            let pending = VecDeque::new();
+            let stream = Stream::new(poll, &budget, socket, at, Interest::Read, LONGEST + 8)?;
             Ok::<_, std::io::Error>(Client {
                 stream,
                 phase,
-                pending,
+                pending: VecDeque::new(),
+                born: now,
                 touched: now,
+                begun: None,
+                leaving: None,
+                asked: false,
+                faults: 0,
                 look: None,
+                spare: None,
                 marked: false,
             })
         });
         match made {
-            Ok(key) => {
-                let client = self.clients.get_mut(key).expect("just made");
-                core.deadlines.set(&mut client.look, Due::Client(key), Some(now + LOOK));
-            }
+            Ok(key) => self.settle(key, core),
             Err(e) => warn!("a client's connection cannot be taken over: {e}"),
         }
     }
 
-    /// Closes the client that has been idle for longest, where one is.
-    fn shed(&mut self, core: &mut Core) {
-        let idle = self.clients.iter().filter(|(_, c)| c.phase == Phase::Ready && c.idle());
-        if let Some((key, _)) = idle.min_by_key(|(_, c)| c.touched) {
-            self.close_idle(key, core);
+    /// Brings a client's deadline and its place among the spare ones up to date.
+    fn settle(&mut self, key: Key, core: &mut Core) {
+        let Some(client) = self.clients.get_mut(key) else { return };
+        // One that is too early finds the next when it falls due; only one that is too late must be moved at once.
+        let until = client.until();
+        if until.is_some_and(|at| client.look.is_none_or(|look| at < look)) {
+            core.deadlines.set(&mut client.look, Due::Client(key), until);
+        }
+        let spare = client.spare();
+        if spare != client.spare {
+            let old = std::mem::replace(&mut client.spare, spare);
+            old.map(|(kind, at)| self.spare.remove(&(kind, at, key)));
+            spare.map(|(kind, at)| self.spare.insert((kind, at, key)));
         }
     }
 
-    /// Closes a client between requests, unless one has just come.
-    fn close_idle(&mut self, key: Key, core: &mut Core) {
-        let Some(client) = self.clients.get_mut(key) else { return };
+    /// Makes room for one more client.
+    fn shed(&mut self, core: &mut Core) {
+        let first: Vec<Key> = self.spare.iter().take(LAST_LOOKS).map(|&(_, _, key)| key).collect();
+        // One that has just spoken stays, and the next one goes.
+        first.into_iter().find(|key| self.close_idle(*key, core));
+    }
+
+    /// Closes a client between requests, unless something has just come; true where it is closed.
+    fn close_idle(&mut self, key: Key, core: &mut Core) -> bool {
+        let Some(client) = self.clients.get_mut(key) else { return false };
         // Danger: closing with a request unread in the kernel's buffer loses it; so a last look is taken first.
-        if client.stream.fill() == Peer::Open && !client.stream.unread().is_empty() {
-            return self.mark(key);
+        let before = client.stream.unread().len();
+        let spoke = client.leaving.is_none()
+            && client.stream.fill() == Peer::Open
+            && client.stream.unread().len() > before;
+        if spoke {
+            self.mark(key);
+        } else {
+            self.close(key, core);
         }
-        self.close(key, core);
+        !spoke
     }
 
     /// The one place where a client's connection is given back.
     fn close(&mut self, key: Key, core: &mut Core) {
         let Some(mut client) = self.clients.remove(key) else { return };
         core.deadlines.set(&mut client.look, Due::Client(key), None);
+        client.spare.map(|(kind, at)| self.spare.remove(&(kind, at, key)));
         for asked in client.pending.into_iter().filter_map(|p| p.request) {
             core.gone(asked.request);
         }
@@ -241,13 +376,17 @@
     }
 
     /// The poller has something to say of a client.
-    pub fn event(&mut self, key: Key, hung_up: bool, now: Time, core: &mut Core) {
+    pub fn event(&mut self, key: Key, hung_up: bool, core: &mut Core) {
         let Some(client) = self.clients.get_mut(key) else { return };
-        client.touched = now;
         // Danger: the poller tells of a reset whatever the socket waits for, over and over: one that is not being
         // read would keep the loop spinning.
-        if hung_up || (client.phase != Phase::Closing && client.stream.fill() == Peer::Gone) {
-            debug!(client = key.number(), "gone");
+        let peer = match client.phase {
+            _ if hung_up => Peer::Gone,
+            Phase::Closing => Peer::Open,
+            _ => client.stream.fill(),
+        };
+        if peer != Peer::Open {
+            debug!(client = key.number(), ?peer, "closed");
             return self.close(key, core);
         }
         self.mark(key);
@@ -257,14 +396,14 @@
     pub fn look_over(&mut self, key: Key, now: Time, core: &mut Core) {
         let Some(client) = self.clients.get_mut(key) else { return };
         client.look = None;
-        let quiet = now.saturating_sub(client.touched);
-        let waits_for_peer = matches!(client.phase, Phase::Opening | Phase::Refusing | Phase::Closing)
-            || client.stream.unsent() > 0
-            || !client.stream.unread().is_empty();
-        if client.pending.is_empty() && quiet >= if waits_for_peer { LOOK } else { IDLE } {
-            return self.close(key, core);
+        match client.until() {
+            Some(at) if at > now => self.settle(key, core),
+            Some(_) if client.leaving.is_none() && client.stream.unsent() == 0 && client.begun.is_none() => {
+                self.close_idle(key, core);
+            }
+            Some(_) => self.close(key, core),
+            None => {}
         }
-        core.deadlines.set(&mut client.look, Due::Client(key), Some(now + LOOK));
     }
 
     /// The statement of a request, for an attempt.
@@ -275,13 +414,14 @@
     }
 
     /// Passes on what a db node answered: row description, row and completion, as they came.
-    pub fn served(&mut self, origin: Key, request: Key, reply: Vec<u8>) {
-        self.answer(origin, request, |out| *out = reply);
+    pub fn served(&mut self, origin: Key, request: Key, reply: Buffer) {
+        self.answer(origin, request, reply);
     }
 
     /// Words a final answer that no db node made.
     pub fn concluded(&mut self, origin: Key, request: Key, answer: Answer) {
-        self.answer(origin, request, |out| match answer {
+        let mut worded = self.words.budget.buffer();
+        worded.write(|out| match answer {
             Answer::Refused(wait) => {
                 let wait = wait.map(clock::to_ms);
                 pgwire::put_error(out, false, code::TURNED_AWAY, "no db node can take this in time", wait);
@@ -291,15 +431,14 @@
                 pgwire::put_error(out, false, code::UNKNOWN_OUTCOME, text, None);
             }
         });
+        self.answer(origin, request, worded);
     }
 
-    fn answer(&mut self, origin: Key, request: Key, word: impl FnOnce(&mut Vec<u8>)) {
+    fn answer(&mut self, origin: Key, request: Key, mut answer: Buffer) {
         let Some(client) = self.clients.get_mut(origin) else { return };
         let is_it = |p: &&mut Pending| p.request.as_ref().is_some_and(|asked| asked.request == request);
         let Some(pending) = client.pending.iter_mut().find(is_it) else { return };
-        let mut answer = Vec::new();
-        word(&mut answer);
-        pgwire::put_ready(&mut answer);
+        answer.write(pgwire::put_ready);
         pending.answer = Some(answer);
         pending.request = None;
         self.mark(origin);
@@ -310,33 +449,59 @@
         for key in mem::take(&mut self.marked) {
             let Some(client) = self.clients.get_mut(key) else { continue };
             client.marked = false;
-            let Ok(sent) = Self::exchange(&self.words, client, key, now, core) else {
+            let Ok((sent, more)) = Self::exchange(&mut self.words, client, key, now, core) else {
                 self.close(key, core);
                 continue;
             };
-            let open = client.phase != Phase::Closing;
-            if sent && client.pending.is_empty() && !open {
+            let done = sent && client.pending.is_empty();
+            if done && client.phase == Phase::Closing && Self::heard_out(client, now) {
                 self.close(key, core);
                 continue;
             }
-            let reading = open && Self::has_room(client);
-            client.stream.wait_for(reading);
-            if self.draining && client.idle() {
+            let reads = client.phase != Phase::Closing && Self::has_room(client);
+            let partial = reads && !more && !client.stream.unread().is_empty();
+            client.begun = partial.then(|| client.begun.unwrap_or(now));
+            client.stream.wait_for(reads || client.leaving.is_some());
+            let idle = self.draining && client.idle() && client.phase != Phase::Closing;
+            self.settle(key, core);
+            if more {
+                self.mark(key);
+            } else if idle {
                 self.close_idle(key, core);
             }
         }
     }
 
-    /// Queues the answers whose turn it is, takes in what there is room for, and writes; true once all is written.
+    /// All has been said to a client that is to go: it is told so, and heard out; true once that is over.
+    fn heard_out(client: &mut Client, now: Time) -> bool {
+        let first = client.leaving.is_none();
+        let (_, left) = client.leaving.get_or_insert((now, LEAVE.1));
+        if first {
+            client.stream.finish();
+        }
+        match client.stream.discard() {
+            Ok(count) => {
+                *left = left.saturating_sub(count);
+                *left == 0
+            }
+            Err(_) => true,
+        }
+    }
+
+    /// Queues the answers whose turn it is, takes in what there is room for, and writes. Says whether all is written, and
+    /// whether something is left to read in the next turn.
     fn exchange(
-        words: &Words, client: &mut Client, key: Key, now: Time, core: &mut Core,
-    ) -> Result<bool, Peer> {
+        words: &mut Words, client: &mut Client, key: Key, now: Time, core: &mut Core,
+    ) -> Result<(bool, bool), Peer> {
+        let mut left = TURN.0;
         loop {
             while let Some(answer) = client.pending.front_mut().and_then(|p| p.answer.take()) {
-                client.stream.output().extend_from_slice(&answer);
+                client.stream.put(|out| out.extend_from_slice(&answer));
                 client.pending.pop_front();
             }
-            if Self::read(words, client, key, now, core) {
+            if left > 0 && Self::read(words, client, key, now, core) {
+                (client.touched, client.begun) = (now, None);
+                left -= 1;
                 continue;
             }
             let before = client.stream.unsent();
@@ -344,9 +509,10 @@
             if client.stream.unsent() < before {
                 client.touched = now;
             }
-            // Danger: messages left unread for want of room to answer them bring no further event of the socket.
-            if !sent || before < PIPELINE.1 {
-                return Ok(sent);
+            // Danger: a client that sends at full speed would hold the turn for as long as its input lasts.
+            if left == 0 || !sent || before < PIPELINE.1 {
+                let reads = client.phase != Phase::Closing && Self::has_room(client);
+                return Ok((sent, left == 0 && reads && !client.stream.unread().is_empty()));
             }
         }
     }
@@ -356,20 +522,20 @@
     }
 
     /// Takes one message in; false where none is whole or there is no room for it.
-    fn read(words: &Words, client: &mut Client, key: Key, now: Time, core: &mut Core) -> bool {
+    fn read(words: &mut Words, client: &mut Client, key: Key, now: Time, core: &mut Core) -> bool {
         if !Self::has_room(client) {
             return false;
         }
         match client.phase {
             Phase::Closing => return false,
-            Phase::Opening | Phase::Refusing => return Self::open(client),
+            Phase::Opening | Phase::Refusing => return Self::open(words, client),
             Phase::Ready | Phase::Skipping => {}
         }
         let message = match pgwire::message(client.stream.unread(), LONGEST) {
             Ok(Some(message)) => message,
             Ok(None) => return false,
             Err(pgwire::Malformed) => {
-                client.dismiss(code::PROTOCOL, "a message has an impossible length");
+                client.dismiss(words, code::PROTOCOL, "a message has an impossible length");
                 return true;
             }
         };
@@ -380,61 +546,61 @@
             (b'X', _) => client.phase = Phase::Closing,
             (b'S', _) => {
                 client.phase = Phase::Ready;
-                client.say(pgwire::put_ready);
+                client.say(words, pgwire::put_ready);
             }
             (_, _) if client.phase == Phase::Skipping => {}
+            (b'Q', Some(Some(text))) if text.contains(&0) => {
+                client.object(words, code::PROTOCOL, "the query has a zero byte in it");
+            }
             (b'Q', Some(Some(text))) => match String::from_utf8(text) {
                 Ok(text) => Self::query(words, client, key, &text, now, core),
-                Err(_) => client.object(code::PROTOCOL, "the query is not UTF-8"),
+                Err(_) => client.object(words, code::PROTOCOL, "the query is not UTF-8"),
             },
-            (b'Q', _) => client.object(code::PROTOCOL, "the query does not end"),
-            (b'F', _) => client.object(code::UNSUPPORTED, "function calls are not supported"),
+            (b'Q', _) => client.object(words, code::PROTOCOL, "the query does not end"),
+            (b'F', _) => client.object(words, code::UNSUPPORTED, "function calls are not supported"),
             (b'P' | b'B' | b'D' | b'E' | b'C' | b'H', _) => {
-                client.say(|out| {
-                    pgwire::put_error(
-                        out,
-                        false,
-                        code::UNSUPPORTED,
-                        "only simple queries are supported",
-                        None,
-                    );
+                client.faults += 1;
+                client.say(words, |out| {
+                    pgwire::put_error(out, false, code::UNSUPPORTED, ONLY_SIMPLE, None);
                 });
                 client.phase = Phase::Skipping;
             }
             // Copy data that comes late, after an error, is ignored as a server does.
             (b'd' | b'c' | b'f', _) => {}
-            _ => client.dismiss(code::PROTOCOL, "a message of an unknown kind"),
+            _ => client.dismiss(words, code::PROTOCOL, "a message of an unknown kind"),
         }
         true
     }
 
     /// Takes in a first packet; false where none is whole.
-    fn open(client: &mut Client) -> bool {
+    fn open(words: &Words, client: &mut Client) -> bool {
         match pgwire::opening(client.stream.unread()) {
             Ok(None) => return false,
             Ok(Some((opening, length))) => {
                 client.stream.take(length);
                 match opening {
-                    Opening::Encryption => client.say(|out| out.push(b'N')),
+                    Opening::Encryption => client.say(words, |out| out.push(b'N')),
                     Opening::Cancel => client.phase = Phase::Closing,
                     Opening::Session(_) if client.phase == Phase::Refusing => {
-                        client.dismiss(code::TURNED_AWAY, "too many connections");
+                        client.dismiss(words, code::TURNED_AWAY, "too many connections");
                     }
                     Opening::Session(minor) => {
                         client.phase = Phase::Ready;
-                        client.say(|out| pgwire::put_welcome(out, minor));
+                        client.say(words, |out| pgwire::put_welcome(out, minor));
                     }
                 }
             }
-            Err(pgwire::Malformed) => client.dismiss(code::PROTOCOL, "the first packet is not understood"),
+            Err(pgwire::Malformed) => {
+                client.dismiss(words, code::PROTOCOL, "the first packet is not understood")
+            }
         }
         true
     }
 
-    fn query(words: &Words, client: &mut Client, key: Key, text: &str, now: Time, core: &mut Core) {
+    fn query(words: &mut Words, client: &mut Client, key: Key, text: &str, now: Time, core: &mut Core) {
         let bare = text.trim().trim_end_matches(';');
         if bare.is_empty() {
-            return client.say(|out| {
+            return client.say(words, |out| {
                 pgwire::put(out, b'I', |_| {});
                 pgwire::put_ready(out);
             });
@@ -442,38 +608,65 @@
         // What drivers send on their own has no effect here, as at the db nodes.
         let word = bare.split_whitespace().next().unwrap_or("").to_ascii_uppercase();
         if ["SET", "RESET", "DISCARD"].contains(&word.as_str()) {
-            return client.say(|out| {
+            return client.say(words, |out| {
                 pgwire::put_complete(out, &word);
                 pgwire::put_ready(out);
             });
         }
         let labels = match pgwire::labels(text) {
             Ok(labels) => labels,
-            Err(complaint) => return client.object(code::PROTOCOL, &complaint),
+            Err(complaint) => return client.object(words, code::PROTOCOL, &complaint),
         };
         let Some(class) = words.names.class(labels.class) else {
-            return client.object(code::UNDEFINED, &format!("class {:?} does not exist", labels.class));
+            return client.object(
+                words,
+                code::UNDEFINED,
+                &format!("class {:?} does not exist", labels.class),
+            );
         };
         if !core.knows_group(labels.group) {
-            return client.object(code::NOT_NOW, &format!("no db node of group {} is known", labels.group));
+            return client.object(
+                words,
+                code::NOT_NOW,
+                &format!("no db node of group {} is known", labels.group),
+            );
         }
         let figures = &core.classes()[class];
+        let left = clock::from_ms(labels.patience);
+        if left == 0 || left > figures.deadline.saturating_mul(ABSURD) {
+            return client.object(
+                words,
+                code::PROTOCOL,
+                &format!("d: nobody waits for {} ms", labels.patience),
+            );
+        }
+        let tenant = labels.tenant.map(|name| (name, words.names.tenant(name)));
+        if let Some((name, None)) = tenant {
+            return client.object(words, code::UNDEFINED, &format!("tenant {name:?} does not exist"));
+        }
+        let Some(share) = words.budget.take(text.len()) else {
+            return client.say(words, |out| {
+                pgwire::put_error(out, false, code::TURNED_AWAY, "too many statements are waiting", None);
+                pgwire::put_ready(out);
+            });
+        };
+        if !words.ids.take(labels.id, now) {
+            return client.object(words, code::PROTOCOL, &format!("id: {} is another request's", labels.id));
+        }
         let has_session = matches!(figures.access, Access::Write | Access::OwnWrites);
         let demand = Demand {
             class,
-            tenant: labels.tenant.and_then(|t| words.names.tenant(t)),
+            tenant: tenant.and_then(|(_, number)| number),
             session: labels.key.filter(|_| has_session).map(Into::into),
-            left: labels.patience.map_or(figures.deadline, clock::from_ms),
+            left,
             group: labels.group,
             write_age: labels.after.filter(|at| *at > 0).map(|at| clock::age(now, clock::from_ms(at))),
             repeat: labels.repeat,
             ..Demand::default()
         };
-        let Some(share) = words.statements.take(text.len()) else {
-            return client.object(code::TURNED_AWAY, "too many statements are waiting");
-        };
         let statement = Rc::new(Statement::new(text, &labels));
         let asked = Asked { request: core.request(key, demand), statement, _share: share };
+        (client.asked, client.faults) = (true, 0);
         client.pending.push_back(Pending { request: Some(asked), answer: None });
     }
 
--- a/router/src/net/budget.rs
+++ b/router/src/net/budget.rs
@@ -1,33 +1,93 @@
-//! A budget of bytes, of which shares are taken and given back when they are dropped.
+//! One budget for all bytes that the router holds for others: what came and is not whole, what waits for its answer, what
+//! has not been read yet. Shares are booked as they grow and given back when they are dropped.
 
 use std::cell::Cell;
+use std::ops::Deref;
 use std::rc::Rc;
 
-/// What is left of a budget.
-pub struct Budget(Rc<Cell<usize>>);
+/// What a buffer may hold though the budget is spent: else a hoarder of memory would lock out everyone.
+const SMALL: usize = 4 * 1024;
+/// A buffer that has grown beyond this is given back once it is empty.
+const KEPT: usize = 1024;
+
+struct Account {
+    most: usize,
+    held: Cell<usize>,
+}
+
+/// A budget of bytes.
+#[derive(Clone)]
+pub struct Budget(Rc<Account>);
 
 /// Bytes taken out of a budget for as long as this is kept.
 pub struct Share {
-    left: Rc<Cell<usize>>,
+    account: Rc<Account>,
     bytes: usize,
 }
 
+/// Bytes that are booked to a budget.
+pub struct Buffer {
+    bytes: Vec<u8>,
+    share: Share,
+}
+
 impl Budget {
     /// A budget of so many bytes.
-    pub fn new(bytes: usize) -> Self {
-        Budget(Rc::new(Cell::new(bytes)))
+    pub fn new(most: usize) -> Self {
+        Budget(Rc::new(Account { most, held: Cell::new(0) }))
     }
 
-    /// Takes a share, if there is as much left.
+    /// Takes a share, if anything is left.
     pub fn take(&self, bytes: usize) -> Option<Share> {
-        self.0.set(self.0.get().checked_sub(bytes)?);
-        Some(Share { left: Rc::clone(&self.0), bytes })
+        (self.0.held.get() < self.0.most).then(|| {
+            let mut share = Share { account: Rc::clone(&self.0), bytes: 0 };
+            share.set(bytes);
+            share
+        })
+    }
+
+    /// An empty buffer.
+    pub fn buffer(&self) -> Buffer {
+        Buffer { bytes: Vec::new(), share: Share { account: Rc::clone(&self.0), bytes: 0 } }
+    }
+}
+
+impl Share {
+    fn set(&mut self, bytes: usize) {
+        let held = self.account.held.get() + bytes - self.bytes;
+        self.account.held.set(held);
+        self.bytes = bytes;
     }
 }
 
 impl Drop for Share {
     fn drop(&mut self) {
-        self.left.set(self.left.get() + self.bytes);
+        self.set(0);
+    }
+}
+
+impl Buffer {
+    /// Changes what it holds.
+    pub fn write<T>(&mut self, change: impl FnOnce(&mut Vec<u8>) -> T) -> T {
+        let result = change(&mut self.bytes);
+        if self.bytes.is_empty() && self.bytes.capacity() > KEPT {
+            self.bytes = Vec::new();
+        }
+        self.share.set(self.bytes.capacity());
+        result
+    }
+
+    /// Whether it may not grow: it is no small one, and the budget is spent.
+    pub fn is_over(&self) -> bool {
+        self.bytes.len() >= SMALL && self.share.account.held.get() >= self.share.account.most
+    }
+}
+
+impl Deref for Buffer {
+    type Target = [u8];
+
+    fn deref(&self) -> &[u8] {
+        &self.bytes
     }
 }
 
@@ -36,12 +96,17 @@
     use super::*;
 
     #[test]
-    fn a_share_comes_back_when_it_is_dropped() {
-        // Danger: pipelines full of large statements would otherwise grow until the router is killed for memory.
-        let budget = Budget::new(10);
-        let most = budget.take(8).expect("there is room");
-        assert!(budget.take(3).is_none() && budget.take(2).is_some());
-        drop(most);
-        assert!(budget.take(10).is_some());
+    fn a_spent_budget_stops_large_buffers_until_a_share_comes_back() {
+        // Danger: half messages of many clients would otherwise grow until the router is killed for memory.
+        let budget = Budget::new(10 * SMALL);
+        let (mut large, mut small) = (budget.buffer(), budget.buffer());
+        large.write(|b| b.resize(2 * SMALL, 0));
+        let share = budget.take(9 * SMALL).expect("there is room");
+        small.write(|b| b.push(0));
+        assert!(large.is_over() && !small.is_over() && budget.take(1).is_none());
+        drop(share);
+        assert!(!large.is_over());
+        large.write(Vec::clear);
+        assert_eq!(budget.0.held.get(), small.share.bytes, "an empty buffer gives its bytes back");
     }
 }
--- a/router/src/net/mod.rs
+++ b/router/src/net/mod.rs
@@ -12,6 +12,7 @@
 use crate::front::pg::Front;
 use crate::table::Key;
 use crate::upstream::pg::Upstream;
+use budget::Budget;
 use plovercove::{ListUpdate, Listed, Time};
 use plovercove_poller::{Events, Poll};
 use plovercove_settings::Names;
@@ -85,13 +86,16 @@
         let signals = signals.register(&poll)?;
         let listener = TcpListener::bind(config.listen)?;
         let listen = listener.local_addr()?;
-        let settings = config.settings;
+        let (settings, budget) = (config.settings, Budget::new(config.buffered));
+        let longest = settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+        let names = Names::of(&settings);
         let mut router = Router {
             clock: Clock::new(),
             signals,
-            front: Front::new(&poll, listener, config.clients, config.statements, Names::of(&settings))?,
+            front: Front::new(&poll, &budget, listener, config.clients, names, longest)?,
             upstream: Upstream::new(
                 &poll,
+                &budget,
                 config.backends,
                 settings.connect_timeout,
                 settings.connection_idle,
@@ -158,7 +162,7 @@
         }
         self.pass_on();
         for (key, hung_up) in of(Source::Client) {
-            self.front.event(key, hung_up, now, &mut self.core);
+            self.front.event(key, hung_up, &mut self.core);
         }
         for _ in of(Source::Listener) {
             self.front.accept(now, &mut self.core);
--- a/router/src/net/stream.rs
+++ b/router/src/net/stream.rs
@@ -1,12 +1,13 @@
 //! A connection with its buffers: partial reads and writes, and nothing ever waited for.
 
+use super::budget::{Budget, Buffer};
 use plovercove_poller::{Interest, Poll, Registered};
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpStream};
 
 const CHUNK: usize = 16 * 1024;
-/// A buffer that has grown beyond this is given back once it is empty.
-const KEPT: usize = 16 * 1024;
+/// Chunks read in one go: a peer that sends at full speed gets its next turn when the others had theirs.
+const CHUNKS: usize = 4;
 
 /// What a read found out about the other side.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -15,14 +16,16 @@
     Open,
     /// It has closed or reset the connection.
     Gone,
+    /// It says more than there is memory for.
+    TooMuch,
 }
 
 /// A connected socket, bytes that came and bytes that are to go.
 pub struct Stream {
     socket: Registered<TcpStream>,
-    input: Vec<u8>,
+    input: Buffer,
     read: usize,
-    output: Vec<u8>,
+    output: Buffer,
     written: usize,
     most: usize,
 }
@@ -30,34 +33,67 @@
 impl Stream {
     /// Takes over a socket that is connected, or that is connecting and will be writable when it is.
     pub fn new(
-        poll: &Poll, socket: TcpStream, key: usize, interest: Interest, most: usize,
+        poll: &Poll, budget: &Budget, socket: TcpStream, key: usize, interest: Interest, most: usize,
     ) -> io::Result<Self> {
         socket.set_nonblocking(true)?;
         socket.set_nodelay(true)?;
         let socket = poll.register(socket, key, interest)?;
-        Ok(Stream { socket, input: Vec::new(), read: 0, output: Vec::new(), written: 0, most })
+        Ok(Stream { socket, input: budget.buffer(), read: 0, output: budget.buffer(), written: 0, most })
     }
 
     /// Reads what has come, up to the most that the input may hold.
     pub fn fill(&mut self) -> Peer {
         let mut chunk = [0; CHUNK];
-        while self.unread().len() < self.most {
-            match (&*self.socket).read(&mut chunk) {
-                Ok(0) => return Peer::Gone,
-                Ok(n) => {
-                    self.input.extend_from_slice(&chunk[..n]);
-                    if n < CHUNK {
-                        return Peer::Open;
+        for _ in 0..CHUNKS {
+            if self.unread().len() >= self.most {
+                break;
+            }
+            if self.input.is_over() {
+                return Peer::TooMuch;
+            }
+            match self.receive(&mut chunk) {
+                Ok(count) => {
+                    self.input.write(|input| input.extend_from_slice(&chunk[..count]));
+                    if count < CHUNK {
+                        break;
                     }
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return Peer::Open,
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return Peer::Gone,
+                Err(peer) => return peer,
             }
         }
         Peer::Open
     }
 
+    /// Reads what has come and keeps none of it; says how much it was.
+    pub fn discard(&mut self) -> Result<usize, Peer> {
+        self.take(self.unread().len());
+        let mut chunk = [0; CHUNK];
+        match self.receive(&mut chunk) {
+            Ok(count) => Ok(count),
+            Err(Peer::Open) => Ok(0),
+            Err(peer) => Err(peer),
+        }
+    }
+
+    /// Bytes that have come; `Open` where there are none just now.
+    fn receive(&self, chunk: &mut [u8]) -> Result<usize, Peer> {
+        loop {
+            match (&*self.socket).read(chunk) {
+                Ok(0) => return Err(Peer::Gone),
+                Ok(count) => return Ok(count),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Err(Peer::Open),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return Err(Peer::Gone),
+            }
+        }
+    }
+
+    /// Says that nothing more will be sent.
+    pub fn finish(&self) {
+        // It fails only where the other side has gone, which the next read tells.
+        let _ = self.socket.shutdown(Shutdown::Write);
+    }
+
     /// The bytes that came and have not been taken.
     pub fn unread(&self) -> &[u8] {
         &self.input[self.read..]
@@ -66,19 +102,15 @@
     /// Takes bytes off the front of what came.
     pub fn take(&mut self, count: usize) {
         self.read += count;
-        if self.read == self.input.len() {
-            self.input.clear();
-            self.read = 0;
-            self.input.shrink_to(KEPT);
-        } else if self.read > CHUNK {
-            self.input.drain(..self.read);
-            self.read = 0;
+        if self.read == self.input.len() || self.read > CHUNK {
+            let read = std::mem::take(&mut self.read);
+            self.input.write(|input| drop(input.drain(..read)));
         }
     }
 
-    /// The buffer for what is to go.
-    pub fn output(&mut self) -> &mut Vec<u8> {
-        &mut self.output
+    /// Adds to what is to go.
+    pub fn put(&mut self, word: impl FnOnce(&mut Vec<u8>)) {
+        self.output.write(word);
     }
 
     /// How many bytes are still to go.
@@ -97,9 +129,8 @@
                 Err(_) => return Err(Peer::Gone),
             }
         }
-        self.output.clear();
         self.written = 0;
-        self.output.shrink_to(KEPT);
+        self.output.write(Vec::clear);
         Ok(true)
     }
 
--- a/router/src/pgwire.rs
+++ b/router/src/pgwire.rs
@@ -160,14 +160,11 @@
     });
 }
 
-/// The texts, each ended by a zero byte, that a body starts with.
-pub fn texts(body: &[u8]) -> impl Iterator<Item = &str> {
-    body.split(|b| *b == 0).filter_map(|text| std::str::from_utf8(text).ok())
-}
-
-/// The code of an ErrorResponse.
-pub fn error_code(body: &[u8]) -> &str {
-    texts(body).find_map(|field| field.strip_prefix('C')).unwrap_or("")
+/// The code of an ErrorResponse; none where it is not the list of fields that it should be.
+pub fn error_code(body: &[u8]) -> Option<&str> {
+    let mut fields = body.strip_suffix(&[0, 0])?.split(|byte| *byte == 0);
+    let code = fields.find_map(|field| field.strip_prefix(b"C")).filter(|code| code.len() == 5)?;
+    std::str::from_utf8(code).ok().filter(|code| code.bytes().all(|byte| byte.is_ascii_alphanumeric()))
 }
 
 /// The value of a DataRow of a single column.
@@ -183,18 +180,20 @@
 pub struct Statement {
     text: String,
     /// Where the digits of `d` stand.
-    patience: Option<Range<usize>>,
+    patience: Range<usize>,
 }
 
 /// What the comment in front of a statement says, by name.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct Labels<'a> {
+    /// The request's own name.
+    pub id: &'a str,
     /// The class.
     pub class: &'a str,
     /// The tenant, where told.
     pub tenant: Option<&'a str>,
     /// The client's patience in milliseconds.
-    pub patience: Option<u64>,
+    pub patience: u64,
     /// Whether the client marked a repeat.
     pub repeat: bool,
     /// The group.
@@ -203,7 +202,7 @@
     pub after: Option<u64>,
     /// The first quoted text of the statement.
     pub key: Option<&'a str>,
-    patience_at: Option<Range<usize>>,
+    patience_at: Range<usize>,
 }
 
 /// Reads the comment in front of a statement, or says what is wrong with it.
@@ -214,23 +213,35 @@
     let (comment, statement) = inner.split_once("*/").ok_or("the comment does not end")?;
     let mut found = Labels::default();
     let mut at = start + 2;
-    let (mut class, mut group) = (None, None);
+    let (mut id, mut class, mut group, mut patience) = (None, None, None, None);
+    let mut seen: Vec<&str> = Vec::new();
     for part in comment.split(',') {
         let (name, value) = part.split_once('=').ok_or_else(|| format!("{part:?} is not name=value"))?;
         let name_length = name.len();
         let (name, trimmed_value) = (name.trim(), value.trim());
         let number = || {
             let wrong = || format!("{name}: {trimmed_value:?} is not a whole number");
-            trimmed_value.parse::<u64>().map_err(|_| wrong())
+            let digits = Some(trimmed_value).filter(|v| v.bytes().all(|b| b.is_ascii_digit()));
+            digits.and_then(|v| v.parse::<u64>().ok()).ok_or_else(wrong)
         };
+        // Danger: said twice, the db node may go by the other one than the router does.
+        if seen.contains(&name) {
+            return Err(format!("{name} is told twice"));
+        }
+        seen.push(name);
         match name {
+            "id" => {
+                let fits = (1..=64).contains(&trimmed_value.len())
+                    && trimmed_value.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_".contains(&b));
+                id = Some(fits.then_some(trimmed_value).ok_or("id: expected letters and digits")?);
+            }
             "c" => class = Some(trimmed_value),
             "t" => found.tenant = Some(trimmed_value).filter(|t| !t.is_empty()),
             "d" => {
                 let lead = value.len() - value.trim_start().len();
                 let begin = at + name_length + 1 + lead;
-                found.patience = Some(number()?);
-                found.patience_at = Some(begin..begin + trimmed_value.len());
+                patience = Some(number()?);
+                found.patience_at = begin..begin + trimmed_value.len();
             }
             "r" => found.repeat = trimmed_value == "1",
             "cluster" => group = Some(number()?),
@@ -241,6 +252,8 @@
     }
     found.class = class.ok_or("c, the class, is missing")?;
     found.group = group.ok_or("cluster, the group, is missing")?;
+    found.id = id.ok_or("id is missing")?;
+    found.patience = patience.ok_or("d, the patience, is missing")?;
     found.key = statement.split('\'').nth(1);
     Ok(found)
 }
@@ -253,11 +266,8 @@
 
     /// Appends it as a query that tells this patience in milliseconds.
     pub fn put(&self, out: &mut Vec<u8>, patience: u64) {
-        let Some(at) = &self.patience else { return put_query(out, &self.text) };
-        put(out, b'Q', |out| {
-            out.extend_from_slice(&self.text.as_bytes()[..at.start]);
-            put_text(out, &format!("{patience}{}", &self.text[at.end..]));
-        });
+        let (before, after) = (&self.text[..self.patience.start], &self.text[self.patience.end..]);
+        put_query(out, &format!("{before}{patience}{after}"));
     }
 }
 
@@ -272,7 +282,7 @@
     fn only_the_patience_of_a_statement_changes() {
         let found = labels(READ).expect("well formed");
         assert_eq!((found.class, found.tenant, found.group), ("basket", Some("acme"), 2));
-        assert_eq!((found.patience, found.after, found.key), (Some(480), Some(17), Some("7f3a")));
+        assert_eq!((found.patience, found.after, found.key), (480, Some(17), Some("7f3a")));
         let mut out = Vec::new();
         Statement::new(READ, &found).put(&mut out, 33);
         let mut want = Vec::new();
@@ -290,6 +300,11 @@
             ("/* d=5,cluster=1 */", "class"),
             ("/* c=a */", "cluster"),
             ("/* c=a,cluster=-1 */", "cluster: \"-1\""),
+            ("/* id=1,id=2 */", "id is told twice"),
+            ("/* id=a b */", "id: expected"),
+            ("/* c=a,cluster=1,d=5 */", "id is missing"),
+            ("/* id=1,c=a,cluster=1 */", "d, the patience"),
+            ("/* id=1,c=a,cluster=1,d=-5 */", "d: \"-5\""),
         ] {
             let said = labels(text).expect_err(text);
             assert!(said.contains(complaint), "{text}: {said}");
--- a/router/src/upstream/pg.rs
+++ b/router/src/upstream/pg.rs
@@ -1,13 +1,15 @@
 //! The db nodes: a pool of PostgreSQL connections to each, one request at a time on every connection.
 
+use super::reply::{self, Reply, Spoilt};
 use crate::clock;
 use crate::core::{AttemptId, Core};
 use crate::deadlines::Due;
+use crate::net::budget::{Budget, Buffer};
 use crate::net::stream::{Peer, Stream};
 use crate::net::{Source, begin_connect, poll_key};
 use crate::pgwire::{self, Statement, code};
 use crate::table::{Key, Table};
-use plovercove::{Ending, NodeId, Role, Span, Standing, Time};
+use plovercove::{Ending, NodeId, Span, Standing, Time};
 use plovercove_poller::{Interest, Poll};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::io::{self, ErrorKind};
@@ -18,7 +20,7 @@
 const USER: &str = "worker";
 const DATABASE: &str = "catalog";
 const REPORT: &str = "SHOW pressure";
-/// The longest reply: a value of 64 KiB, as it is or in hex digits, and what stands round it.
+/// The most bytes that are read ahead on a connection.
 const LONGEST: usize = 256 * 1024;
 /// Idle connections are retired after this share of the time at which the node closes them: a request that crosses
 /// the node's close ends as a reset.
@@ -31,19 +33,6 @@
     Probe(Time),
 }
 
-/// What has come of a reply.
-#[derive(Default)]
-struct Reply {
-    /// Row description, row and completion, as they came.
-    body: Vec<u8>,
-    /// Rows of a single column, and all other rows.
-    rows: (u32, u32),
-    complete: bool,
-    error: Option<String>,
-    note: Standing,
-    report: Standing,
-}
-
 enum State {
     Dialing,
     /// Connected; the node has not said that it is ready.
@@ -78,12 +67,13 @@
     /// The request.
     pub request: Key,
     /// What to pass on.
-    pub reply: Vec<u8>,
+    pub reply: Buffer,
 }
 
 /// The pools of all db nodes.
 pub struct Upstream {
     poll: Poll,
+    budget: Budget,
     nodes: BTreeMap<NodeId, Node>,
     backends: Table<Backend>,
     /// Where the attempts that have a connection run.
@@ -96,9 +86,12 @@
 
 impl Upstream {
     /// Pools without connections, for so many at the most.
-    pub fn new(poll: &Poll, most: usize, dial_timeout: Span, node_closes_after: Span) -> Self {
+    pub fn new(
+        poll: &Poll, budget: &Budget, most: usize, dial_timeout: Span, node_closes_after: Span,
+    ) -> Self {
         Upstream {
             poll: poll.clone(),
+            budget: budget.clone(),
             nodes: BTreeMap::new(),
             backends: Table::new(),
             running: HashMap::new(),
@@ -212,10 +205,10 @@
         let node = self.nodes.get_mut(id).ok_or(ErrorKind::NotFound)?;
         let address = node.address.ok_or(ErrorKind::NotFound)?;
         let socket = begin_connect(address)?;
-        let poll = &self.poll;
+        let (poll, budget) = (&self.poll, &self.budget);
         let key = self.backends.insert_with(|key| {
             let at = poll_key(Source::Backend, Some(key));
-            let stream = Stream::new(poll, socket, at, Interest::Write, LONGEST)?;
+            let stream = Stream::new(poll, budget, socket, at, Interest::Write, LONGEST)?;
             let (node, state) = (id.clone(), State::Dialing);
             Ok::<_, io::Error>(Backend { stream, node, state, expires: None, idle_since: now })
         })?;
@@ -250,16 +243,17 @@
         let expires = match &job {
             Job::Attempt(id, statement) => {
                 self.running.insert(*id, key);
-                statement.put(backend.stream.output(), clock::to_ms(core.patience(*id, now)).max(1));
+                let patience = clock::to_ms(core.patience(*id, now)).max(1);
+                backend.stream.put(|out| statement.put(out, patience));
                 None
             }
             Job::Probe(_) => {
-                pgwire::put_query(backend.stream.output(), REPORT);
+                backend.stream.put(|out| pgwire::put_query(out, REPORT));
                 Some(now + self.dial_timeout)
             }
         };
         core.deadlines.set(&mut backend.expires, Due::Backend(key), expires);
-        backend.state = State::Busy(job, Reply::default(), false);
+        backend.state = State::Busy(job, Reply::new(&self.budget), false);
         self.write(key, now, core);
     }
 
@@ -282,23 +276,42 @@
 
     /// A connection ended from the other side, or was waited for long enough.
     fn broken(&mut self, key: Key, now: Time, core: &mut Core) {
+        // Unless the db node said what became of the request before it closed, nobody knows.
+        let told = |reply: &Reply| if reply.tells() { Ok(()) } else { Err(Ending::Broken) };
+        self.over(key, told, now, core);
+    }
+
+    /// What came on a connection is not to be followed. The db node is there and answers, so it is not at fault as one
+    /// that breaks connections is; the request may have run, and whatever came with the answer tells nothing.
+    fn spoilt(&mut self, key: Key, now: Time, core: &mut Core) {
+        if let Some(backend) = self.backends.get(key) {
+            warn!(node = %backend.node, "a message that cannot be followed");
+        }
+        self.over(key, |_| Err(Ending::Failure), now, core);
+    }
+
+    /// Ends a connection, and what was under way on it by what its reply tells.
+    fn over(
+        &mut self, key: Key, told: impl FnOnce(&Reply) -> Result<(), Ending>, now: Time, core: &mut Core,
+    ) {
         let Some(backend) = self.backends.get_mut(key) else { return };
         let node = backend.node.clone();
         let coming = matches!(backend.state, State::Dialing | State::Greeting);
         let reply = match &mut backend.state {
-            State::Busy(_, reply, written) => Some((std::mem::take(reply), *written)),
+            State::Busy(_, reply, written) => {
+                Some((std::mem::replace(reply, Reply::new(&self.budget)), *written))
+            }
             _ => None,
         };
         let job = self.drop_backend(key, core);
         if coming {
             self.dial_failed(&node, Ending::Unreachable, now, core);
         } else if let (Some(job), Some((reply, written))) = (job, reply) {
-            // Until its last byte is written a request never ran; after that it may have, unless the db node said
-            // what became of it before it closed.
-            match written {
-                true if reply.tells() => self.finish(job, reply, &node, now, core),
-                true => Self::fail(job, &node, Ending::Broken, now, core),
-                false => Self::fail(job, &node, Ending::Unreachable, now, core),
+            // Until its last byte is written a request never ran; after that it may have.
+            match told(&reply) {
+                _ if !written => Self::fail(job, &node, Ending::Unreachable, now, core),
+                Ok(()) => self.finish(job, reply, &node, now, core),
+                Err(ending) => Self::fail(job, &node, ending, now, core),
             }
         }
     }
@@ -329,51 +342,56 @@
                 return self.broken(key, now, core);
             }
             backend.state = State::Greeting;
-            pgwire::put_startup(backend.stream.output(), USER, DATABASE);
+            backend.stream.put(|out| pgwire::put_startup(out, USER, DATABASE));
         }
         if backend.stream.unsent() > 0 {
             self.write(key, now, core);
         }
         let Some(backend) = self.backends.get_mut(key) else { return };
         let peer = backend.stream.fill();
+        // Danger: bytes on a connection that nothing waits for belong to no request, and the next one would get them.
+        if matches!(backend.state, State::Idle) && (peer != Peer::Open || !backend.stream.unread().is_empty())
+        {
+            debug!(node = %backend.node, "an idle connection ends");
+            return drop(self.drop_backend(key, core));
+        }
         // What came before the end still counts.
         while self.read(key, now, core) {}
-        if peer == Peer::Gone {
-            self.broken(key, now, core);
+        match peer {
+            Peer::Open => {}
+            Peer::Gone => self.broken(key, now, core),
+            Peer::TooMuch => self.spoilt(key, now, core),
         }
     }
 
     /// Takes one message in; false where none is whole.
     fn read(&mut self, key: Key, now: Time, core: &mut Core) -> bool {
         let Some(backend) = self.backends.get_mut(key) else { return false };
-        let message = match pgwire::message(backend.stream.unread(), LONGEST) {
-            Ok(Some(message)) => message,
-            Ok(None) if backend.stream.unread().len() < LONGEST => return false,
-            Ok(None) | Err(pgwire::Malformed) => {
-                warn!(node = %backend.node, "a message that cannot be followed");
-                self.broken(key, now, core);
+        let Some(kind) = backend.stream.unread().first().copied() else { return false };
+        let message = match reply::longest(kind).map(|most| pgwire::message(backend.stream.unread(), most)) {
+            Some(Ok(Some(message))) => message,
+            Some(Ok(None)) => return false,
+            Some(Err(pgwire::Malformed)) | None => {
+                self.spoilt(key, now, core);
                 return false;
             }
         };
-        let (kind, length) = (message.kind, message.raw.len());
+        let length = message.raw.len();
         let mut refused = None;
-        match (&mut backend.state, kind) {
-            (_, b'S' | b'N') | (State::Greeting, b'R' | b'K' | b'v' | b'Z') => {
-                if let State::Busy(_, reply, _) = &mut backend.state
-                    && kind == b'S'
-                {
-                    reply.status(message.body);
-                }
-            }
-            (State::Busy(job, reply, _), b'T' | b'D' | b'C' | b'E' | b'I' | b'Z') => {
-                reply.take(&message, matches!(job, Job::Probe(_)));
-            }
-            (State::Greeting, b'E') => refused = Some(pgwire::error_code(message.body) == code::TURNED_AWAY),
-            _ => {
-                debug!(node = %backend.node, kind, "an unexpected message");
-                self.broken(key, now, core);
-                return false;
+        let taken = match (&mut backend.state, kind) {
+            (State::Busy(..) | State::Greeting, b'Z') if message.body != b"I" => Err(Spoilt),
+            (State::Busy(_, reply, _), b'Z') if !reply.tells() => Err(Spoilt),
+            (State::Busy(..), b'Z') | (State::Greeting, b'S' | b'N' | b'R' | b'K' | b'v' | b'Z') => Ok(()),
+            (State::Busy(job, reply, _), _) => reply.take(&message, matches!(job, Job::Probe(_))),
+            (State::Greeting, b'E') => {
+                refused = Some(pgwire::error_code(message.body) == Some(code::TURNED_AWAY));
+                Ok(())
             }
+            _ => Err(Spoilt),
+        };
+        if taken == Err(Spoilt) {
+            self.spoilt(key, now, core);
+            return false;
         }
         backend.stream.take(length);
         if let Some(full) = refused {
@@ -399,9 +417,12 @@
                 node.coming -= 1;
             }
             State::Busy(job, reply, written) => {
+                // It answered what it has not been sent whole, or says more than belongs to its answer: the next
+                // request would be given what is no answer to it.
+                let unfit = !written || !backend.stream.unread().is_empty();
                 self.finish(job, reply, &id, now, core);
-                if !written {
-                    // It answered what it has not been sent whole: nothing after that can be trusted.
+                if unfit {
+                    debug!(node = %id, "a connection that says too much ends");
                     self.drop_backend(key, core);
                     return;
                 }
@@ -415,7 +436,7 @@
     fn next_job(&mut self, key: Key, id: &NodeId, now: Time, core: &mut Core) {
         while let Some(job) = self.nodes.get_mut(id).and_then(|n| n.waiting.pop_front()) {
             // Danger: a db node may close after an answer, and what is written to it then ends as a reset.
-            if !self.backends.get(key).is_some_and(|b| b.stream.unread().is_empty() && b.stream.quiet()) {
+            if !self.backends.get(key).is_some_and(|b| b.stream.quiet()) {
                 self.nodes.get_mut(id).expect("looked up above").waiting.push_front(job);
                 self.drop_backend(key, core);
                 return self.dial_failed(id, Ending::Unreachable, now, core);
@@ -451,76 +472,3 @@
         self.broken(key, now, core);
     }
 }
-
-impl Reply {
-    fn take(&mut self, message: &pgwire::Message<'_>, is_report: bool) {
-        match message.kind {
-            b'E' => self.error = Some(pgwire::error_code(message.body).to_string()),
-            b'T' | b'D' | b'C' => {
-                self.body.extend_from_slice(message.raw);
-                self.complete |= message.kind == b'C';
-                if message.kind == b'D' {
-                    match pgwire::single_value(message.body) {
-                        Some(value) => {
-                            self.rows.0 += 1;
-                            // A client's value may read like a report; it is none.
-                            if is_report {
-                                self.fields(value);
-                            }
-                        }
-                        None => self.rows.1 += 1,
-                    }
-                }
-            }
-            _ => {}
-        }
-    }
-
-    /// ParameterStatus: what the node says of itself.
-    fn status(&mut self, body: &[u8]) {
-        let mut texts = pgwire::texts(body);
-        let (Some(name), Some(value)) = (texts.next(), texts.next()) else { return };
-        match name {
-            "replication_role" => self.note.role = role(value),
-            "log_position" => self.note.position = value.parse().ok().map(clock::from_ms),
-            "pressure" => self.fields(value.as_bytes()),
-            _ => {}
-        }
-    }
-
-    /// The fields of a load report, `name=value` with commas between; what is no report tells nothing.
-    fn fields(&mut self, text: &[u8]) {
-        let Ok(text) = std::str::from_utf8(text) else { return };
-        for (name, value) in text.split(',').filter_map(|field| field.split_once('=')) {
-            match (name, value.parse::<f64>()) {
-                ("x0", Ok(seconds)) => self.report.position = clock::from_seconds(seconds),
-                ("x1", Ok(figure)) => {
-                    self.report.role = Some(if figure == 1.0 { Role::Primary } else { Role::Replica });
-                }
-                _ => {}
-            }
-        }
-    }
-
-    /// Whether it says what became of the request, though no more may come.
-    fn tells(&self) -> bool {
-        self.error.is_some() || self.complete
-    }
-
-    fn ending(&self) -> Ending {
-        match self.error.as_deref() {
-            Some(code::READ_ONLY | code::TOO_OLD) => Ending::Missed,
-            Some(code::TURNED_AWAY) => Ending::Overloaded,
-            None if self.complete && self.rows == (1, 0) => Ending::Success,
-            _ => Ending::Failure,
-        }
-    }
-}
-
-fn role(word: &str) -> Option<Role> {
-    match word {
-        "primary" => Some(Role::Primary),
-        "standby" => Some(Role::Replica),
-        _ => None,
-    }
-}
--- a/router/tests/exchanges.rs
+++ b/router/tests/exchanges.rs
@@ -35,10 +35,10 @@
         r"T|\0\x01body\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\x01;D|\0\x01\0\0\0\x02\x9f\x03;C|SELECT 1\0",
     ),
     ("ready", "Z|I"),
-    ("look", "/* id=1,c=look,t=acme,d=4000,cluster=2 */ SELECT body FROM objects WHERE oid = '7f'"),
+    ("look", "/* id=1{},c=look,t=acme,d=4000,cluster=2 */ SELECT body FROM objects WHERE oid = '7f'"),
     (
         "book",
-        r"/* id=2,c=book,t=acme,d=4000,cluster=2 */ INSERT INTO objects (oid, body) VALUES ('7f', '\\x9f') RETURNING body",
+        r"/* id=2{},c=book,t=acme,d=4000,cluster=2 */ INSERT INTO objects (oid, body) VALUES ('7f', '\\x9f') RETURNING body",
     ),
     ("error", r"E|SERROR\0C{}\0Mno\0\0"),
     ("http", r"HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n"),
@@ -318,6 +318,8 @@
     fatal_refusal,
     closing_node,
     reload,
+    rude,
+    spoilt,
 );
 
 /// Danger: at the limit of descriptors a router that can't accept would spin, or leave clients without a word.
@@ -335,7 +337,7 @@
         play.step(step);
     }
     for client in (2..=20).map(|number| format!("c{number}")).chain(["late".to_string()]) {
-        play.step(&format!("{client} > Q|{{look}}\\0"));
+        play.step(&format!("{client} > Q|{{look:{client}}}\\0"));
     }
     for step in ["later connect", "later > {startup}", "later < closed"] {
         play.step(step);
