Keep replicas fresh: loose reads by age of data, probe before a db node is set aside

Reads that need fresh data were refused (7 to 9 % of all) while idle replicas stood by. A trace of every request given up (run, not kept) showed why: of eight replicas four to six were known to be 2 to 14 s behind, each with one or two reads out, and the primary was at its limit.

At fault, in the module: `watch` adds up the waits of all that is out, though what waits in one queue is late together; `read` spread month-report, during which a replica applies nothing, over all replicas, and asked for a position only when no replica was fresh. Also, `outcome` took a time-out for word from the node, and `settle` kept a write whose answer was lost until its client's patience ended.

Now a node in doubt is probed and set aside only if it leaves that unanswered for 60 ms, or answers no request for 600 ms; long reads go to the replicas furthest behind, other loose reads prefer data that is no use to others; with few routers a replica is probed when it falls out of freshness, without holding the read; what no node may get any more is answered at once.

Tests: four scenarios, each seen to fail without the change.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -12,12 +12,17 @@
 const NEAR_TIE: f64 = 1.05; // scores within this factor of the least are a tie and go round-robin
 const CROSSING: f64 = 0.3; // what crossing a zone adds to a read's cost, as a share of it: a nudge
 const CONNECT: f64 = 0.3; // ... and opening a connection, where routers are many: tables fill
+const KEEP_FRESH: f64 = 2.0; // a loose read costs so many times as much where the data is of use to others
+const LONG: f64 = 4.0; // a class that takes so many times the least of all is long: it may hold the log up
+const LONG_STEP: f64 = 1.0; // what each further replica adds to a long read's cost: a few take them all
 const GAIN: f64 = 0.1; // weight of a new sample in running means: some ten samples of memory
 const FIRST_LATENCY: f64 = 0.3; // first guess of a class's latency as a share of its aim
 const SLOW_RANGE: (f64, f64) = (0.5, 12.0); // bounds of slowness: one sample can't banish a node
 const SLOW_FADE: f64 = 8e6; // slowness fades towards 1 with this time constant: nodes are tried again
 const SILENCE: f64 = 9.0; // unanswered waits, in mean latencies, that set a node aside: e^-9 if it is well
 const SILENCE_EACH: f64 = 3.5; // the most that one attempt counts in that sum: one hard read is no proof
+const VOUCH: Span = 60_000; // a node that a probe was sent to in doubt must answer it within this time
+const GREY: Span = 600_000; // one that answers probes, but no request for so long, is set aside all the same
 const TRIAL: (Span, Span) = (500_000, 4_000_000); // first wait before a trial, the longest after doublings
 const COMMON_CAUSE: f64 = 0.5; // the most of those in service set aside: beyond it the cause is common
 const PATIENCE: f64 = 16.0; // mean latencies until a read times out: late, since a time-out brings repeats
@@ -148,6 +153,7 @@
     thin: bool,
     in_service: usize, // nodes in service by the list
     classes: Vec<ClassState>,
+    old: Span,       // data older than this is of use only to reads that any data will do for
     mean_worth: f64, // mean worth of requests per unit of work
     pace: f64,       // running mean of answers' shares of their aim, and the least it has been lately
     calm: f64,
@@ -161,7 +167,9 @@
     pub fn new(settings: Settings, seed: u64) -> Self {
         let first = |c: &Class| ClassState { latency: c.aim as f64 * FIRST_LATENCY, longest_left: 0 };
         let classes = settings.classes.iter().map(first).collect();
+        let bound = |c: &Class| if let Access::Bounded(bound) = c.access { Some(bound) } else { None };
         Balancer {
+            old: settings.classes.iter().filter_map(bound).max().unwrap_or(UNSURE),
             classes,
             random: seed | 1,
             turn: u64::from(settings.index),
@@ -402,7 +410,8 @@
                 && node.as_ref() == self.primary(r.what.group)
         });
         let proof = self.cfg.replica_check == ReplicaCheck::None && !write;
-        let hold = proof && (pending || (r.asked.is_none() && ask.is_some()));
+        let unproved = node.is_none() || node.as_ref() == self.primary(r.what.group);
+        let hold = proof && (pending || (unproved && r.asked.is_none() && ask.is_some()));
         let r = self.requests.get_mut(&id).expect("placed requests exist");
         r.barred = !kept.is_empty();
         if let Some(asked) = ask {
@@ -498,15 +507,27 @@
         }
         let serving = replicas.iter().copied().filter(|n| n.closed.is_none() && !n.suspect);
         let (fresh, behind): (Vec<&Node>, Vec<&Node>) = serving.partition(|n| self.fresh(n, r));
-        // Asked only when the answer may win a replica: each of hundreds of routers pays for its probes.
-        let needed = fresh.is_empty() || self.cfg.replica_check != ReplicaCheck::None;
+        // Hundreds of routers pay for each other's probes, so there one is asked only when the answer may win a
+        // read its first replica. A few ask whenever one falls out: else all crowd on the one last asked.
+        let needed = fresh.is_empty() || self.cfg.replica_check != ReplicaCheck::None || !self.thin;
         let ask = behind.into_iter().filter(|n| needed && self.worth_asking(n)).min_by_key(|n| n.probed);
+        // Danger: spread over all replicas, long reads keep the log from being applied anywhere.
+        let loose = self.cfg.classes[r.what.class].access == Access::Any;
+        let old = |n: &Node| self.now.saturating_sub(n.position) > self.old;
+        let mut order: Vec<&Node> = if loose { fresh.clone() } else { Vec::new() };
+        order.sort_by_key(|n| n.position);
+        let long = self.is_long(r.what.class);
+        let dearer = |n: &Node| match order.iter().position(|o| o.entry.node == n.entry.node) {
+            Some(place) if long => 1.0 + LONG_STEP * place as f64,
+            Some(_) if !old(n) => KEEP_FRESH,
+            _ => 1.0,
+        };
         let score = |n: &'a Node| {
             let load: f64 = n.live(self.now).map(|o| o.1).sum();
             let trip = if n.entry.zone == self.cfg.zone { 0.0 } else { CROSSING };
             let fresh_link = if self.thin && !n.linked { CONNECT } else { 0.0 };
             let cost = self.cost(n, r) + (trip + fresh_link) * self.classes[r.what.class].latency;
-            ((load + cost) / self.weight(n), n)
+            ((load + cost) * dearer(n) / self.weight(n), n)
         };
         let scored: Vec<(f64, &Node)> = fresh.iter().copied().filter(|n| self.usable(n)).map(score).collect();
         let least = scored.iter().map(|s| s.0).fold(f64::INFINITY, f64::min);
@@ -522,6 +543,11 @@
         (node, ask)
     }
 
+    fn is_long(&self, class: usize) -> bool {
+        let least = self.classes.iter().map(|c| c.latency).fold(f64::INFINITY, f64::min);
+        self.classes[class].latency >= least * LONG
+    }
+
     /// The last resort where nodes check reads; not one whose last word proves it too far behind to serve.
     fn most_advanced<'a>(&self, r: &Request, nodes: &[&'a Node]) -> Option<&'a Node> {
         let able = |n: &&&Node| self.usable(n) && !r.missed_at(n) && self.now > n.heard + UNSURE;
@@ -652,8 +678,10 @@
         };
         a.missed = ending == Ending::Missed;
         let (group, session) = (r.what.group, r.what.session.clone());
-        self.learn(&node_id, report, false, actions);
-        self.learn(&node_id, note, true, actions);
+        if matches!(ending, Ending::Success | Ending::Failure | Ending::Missed | Ending::Overloaded) {
+            self.learn(&node_id, report, false, actions);
+            self.learn(&node_id, note, true, actions);
+        }
         let write = self.is_write(id);
         if write && ending == Ending::Missed {
             self.unseat(group, &node_id);
@@ -769,6 +797,13 @@
         (r.born + class.aim) as f64 + class.aim_stretch * r.what.cost_hint.unwrap_or(0) as f64
     }
 
+    /// A waiting request that no node may get any more: kept back it would only hold up its client.
+    fn spent(&self, r: &Request) -> bool {
+        let effect = self.cfg.classes[r.what.class].effect;
+        let may_have_run = r.attempts.iter().any(|a| a.fate != Fate::NotRun);
+        r.attempts.len() as u32 >= self.cfg.max_attempts || (effect == Effect::AtMostOnce && may_have_run)
+    }
+
     /// A waiting request that can't make its aim any more, and would earn nothing late.
     fn hopeless(&self, r: &Request) -> bool {
         let late = self.cfg.classes[r.what.class].late_worth;
@@ -801,7 +836,7 @@
         for id in queue {
             self.place(id, actions);
             let r = &self.requests[&id];
-            if self.waiting.contains(&id) && (r.barred || self.hopeless(r)) {
+            if self.waiting.contains(&id) && (r.barred || self.hopeless(r) || self.spent(r)) {
                 self.give_up(id, actions);
             }
         }
@@ -831,10 +866,26 @@
             let node = self.nodes.get_mut(id).expect("sent to");
             let sum: f64 = node.out.values().map(|o| node.waited_in_vain(o, now)).sum();
             if !node.suspect && sum + node.silence >= SILENCE && bad + 1.0 <= most {
+                // Danger: requests that wait in one queue are late together, so a node that is merely busy
+                // looks silent; what is taken back from it runs on there and again elsewhere.
+                if self.cfg.may_probe && now < node.answered + GREY {
+                    let vouched = node.told >= node.probed;
+                    if vouched && now >= node.told + PROBE_GAP {
+                        node.probed = now;
+                        actions.push(Action::Probe(id.clone()));
+                    }
+                    if vouched || now < node.probed + VOUCH {
+                        continue;
+                    }
+                }
                 bad += 1.0;
                 node.suspect = true;
                 node.wait_on(now);
-                actions.push(Action::Log(format!("node {id}: silent, set aside")));
+                let (out, idle) = (node.out.len(), now.saturating_sub(node.answered) / 1_000);
+                actions.push(Action::Log(format!(
+                    "node {id}: silent, set aside; {out} out, waited {sum:.1}+{:.1}, no answer for {idle} ms",
+                    node.silence
+                )));
                 silent.push(id.clone());
             }
         }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -275,3 +275,92 @@
     });
     assert_eq!(rig.request(demand(3, ANY)).as_deref(), Some("r1"));
 }
+
+/// A site with few routers, whose nodes report when they are asked, and a class of long reads beside the others.
+fn asking() -> Settings {
+    let mut settings = Settings {
+        may_probe: true,
+        reports: ReportSource::Probes,
+        replica_check: ReplicaCheck::None,
+        routers: 2,
+        ..settings()
+    };
+    settings.classes.push(Class { aim: 3_000 * MS, ..class("long", Access::Any, Effect::Idempotent) });
+    settings
+}
+
+fn reported(node: &str, position: Time) -> Event {
+    Event::Probed { node: node.into(), answered: true, report: says(Role::Replica, position) }
+}
+
+fn probed(actions: &[Action], node: &str) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Probe(to) if &**to == node))
+}
+
+fn set_aside(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Log(line) if line.contains("set aside")))
+}
+
+#[test]
+fn a_busy_node_that_answers_its_probe_is_not_set_aside() {
+    // Danger: requests in one queue are late together, so healthy nodes were set aside some sixty times a day, and what
+    // was taken back from them ran on there and again elsewhere.
+    for answers in [true, false] {
+        let mut rig = Rig::with(asking(), (0..6).map(|n| entry(&format!("r{n}"), false)).collect());
+        for id in 0..24 {
+            rig.request(demand(id, ANY));
+        }
+        let mut aside = 0;
+        let mut asked = false;
+        for _ in 0..25 {
+            let actions = rig.later(20 * MS).clone();
+            aside += u32::from(set_aside(&actions));
+            for node in (0..6).map(|n| format!("r{n}")).filter(|node| probed(&actions, node)) {
+                asked = true;
+                if answers {
+                    let told = reported(&node, rig.now);
+                    aside += u32::from(set_aside(rig.event(told)));
+                }
+            }
+        }
+        assert!(asked && (aside == 0) == answers, "{aside} set aside with answers {answers}");
+    }
+}
+
+#[test]
+fn long_reads_go_to_the_replica_that_is_furthest_behind() {
+    // Danger: a long read holds the log up where it runs. Spread out, they kept every replica from staying fresh, and
+    // the reads that need fresh data crowded on the primary.
+    let mut rig = Rig::with(asking(), (0..4).map(|n| entry(&format!("r{n}"), false)).collect());
+    let long = asking().classes.len() - 1;
+    let now = rig.now;
+    rig.batch((0..4).map(|n| reported(&format!("r{n}"), now - [90, 80, 400, 70][n] * MS)).collect());
+    assert_eq!(rig.request(demand(1, long)).as_deref(), Some("r2"));
+    rig.batch((0..4).map(|n| reported(&format!("r{n}"), now - [9, 9, 400, 700][n] * MS)).collect());
+    rig.later(150 * MS);
+    assert_eq!(rig.request(demand(2, ANY)).as_deref(), Some("r3"), "it is beyond the bound of 500 ms");
+}
+
+#[test]
+fn a_replica_that_falls_out_is_asked_though_another_is_fresh() {
+    // Danger: asked only when none was left, all reads that need fresh data crowded on the one last asked.
+    let mut rig = Rig::with(asking(), vec![entry("p", true), entry("r1", false), entry("r2", false)]);
+    let now = rig.now;
+    rig.batch(vec![reported("r1", now - 10 * MS), reported("r2", now - 450 * MS)]);
+    rig.later(480 * MS);
+    assert_eq!(
+        rig.request(demand(1, BOUNDED)).as_deref(),
+        Some("r1"),
+        "sent at once, not held for the answer"
+    );
+    assert!(probed(&rig.actions, "r2"));
+}
+
+#[test]
+fn a_write_that_may_have_run_fails_at_once() {
+    // Danger: it waited for the end of its client's patience, though nothing could be sent any more.
+    let mut rig = Rig::new(settings());
+    rig.request(demand(1, UNSAFE));
+    rig.ends(1, 0, Ending::Failure, Standing::default());
+    assert!(rig.failed(1));
+}
