--- a/src/balance.rs
+++ b/src/balance.rs
@@ -507,8 +507,8 @@
         }
         let serving = replicas.iter().copied().filter(|n| n.closed.is_none() && !n.suspect);
         let (fresh, behind): (Vec<&Node>, Vec<&Node>) = serving.partition(|n| self.fresh(n, r));
-        // Hundreds of routers pay for each other's probes, so there one is asked only when the answer may win a
-        // read its first replica. A few ask whenever one falls out: else all crowd on the one last asked.
+        // Hundreds of routers pay for each other's probes, so there one is asked only when the answer may win
+        // a read its first replica. A few ask whenever one falls out: else all crowd on the one last asked.
         let needed = fresh.is_empty() || self.cfg.replica_check != ReplicaCheck::None || !self.thin;
         let ask = behind.into_iter().filter(|n| needed && self.worth_asking(n)).min_by_key(|n| n.probed);
         // Danger: spread over all replicas, long reads keep the log from being applied anywhere.
