Let no more than a third of the places be idle, and forget db nodes that are gone

The trace of places: 128 connections, all that clients may hold under 384 descriptors, stood idle; 64 a second came, asked once and held on, each until 5 s of idleness. Ruled out: places run out at the router (no newcomer was turned away), the budget of bytes, the list, the module (a handful of requests given up). At fault in front/pg.rs: IDLE alone limited connections without a request, and `shed` acts only at the router's own limit, which lies above that of the clients.

Now at most a third of the places may be idle; beyond it the one idle for longest is closed, after a last look for a request.

Tests: the exchange `idle`, the scenario `nodes_that_are_gone...` and the core's `what_the_list_no_longer_names...`.

--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -7,7 +7,7 @@
 use crate::deadlines::{Deadlines, Due};
 use crate::table::{Key, Table};
 use plovercove::*;
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use tracing::{debug, info, warn};
 
 /// What may pass in a client's and our own buffers before a request is counted: its patience runs from its sending.
@@ -70,7 +70,8 @@
     balancer: Balancer,
     classes: Vec<Class>,
     requests: Table<Request>,
-    groups: BTreeSet<GroupId>,
+    /// The groups of the nodes that the list names.
+    members: BTreeMap<NodeId, GroupId>,
     events: Vec<Event>,
     actions: Vec<Action>,
     commands: Vec<Command>,
@@ -85,7 +86,7 @@
             classes: settings.classes.clone(),
             balancer: Balancer::new(settings, seed),
             requests: Table::new(),
-            groups: BTreeSet::new(),
+            members: BTreeMap::new(),
             events: Vec::new(),
             actions: Vec::new(),
             commands: Vec::new(),
@@ -103,15 +104,23 @@
         &self.classes
     }
 
-    /// Whether the list has ever named a member of this group.
+    /// Whether the list names a member of this group.
     pub fn knows_group(&self, group: GroupId) -> bool {
-        self.groups.contains(&group)
+        self.members.values().any(|known| *known == group)
     }
 
     /// Discovery told something.
     pub fn list(&mut self, update: ListUpdate) {
+        if let ListUpdate::Full(_) | ListUpdate::Restored(_) = &update {
+            self.members.clear();
+        }
         if let ListUpdate::Changes(all) | ListUpdate::Full(all) | ListUpdate::Restored(all) = &update {
-            self.groups.extend(all.iter().map(|entry| entry.group));
+            for entry in all {
+                match entry.state {
+                    Listed::Gone => drop(self.members.remove(&entry.node)),
+                    _ => drop(self.members.insert(entry.node.clone(), entry.group)),
+                }
+            }
         }
         self.events.push(Event::List(update));
     }
@@ -357,4 +366,17 @@
         assert_eq!(core.ended(NOW + 2, attempt, Ending::Success, said, said), None);
         assert_eq!(core.held(), 0);
     }
+
+    #[test]
+    fn what_the_list_no_longer_names_is_forgotten() {
+        // Danger: each replaced node would leave something behind, and its group would be asked for in vain.
+        let mut core = writing().0;
+        let listed = |state| NodeEntry { node: "r".into(), group: 2, state, ..NodeEntry::default() };
+        core.list(ListUpdate::Changes(vec![listed(Listed::Serving)]));
+        assert!(core.knows_group(1) && core.knows_group(2));
+        core.list(ListUpdate::Changes(vec![listed(Listed::Gone)]));
+        assert!(core.knows_group(1) && !core.knows_group(2));
+        core.list(ListUpdate::Full(vec![listed(Listed::Serving)]));
+        assert_eq!(core.members.len(), 1, "a whole list replaces what was known");
+    }
 }
--- a/router/src/front/pg.rs
+++ b/router/src/front/pg.rs
@@ -35,7 +35,7 @@
 /// How long answers may lie unread.
 const UNREAD: Time = 2_500_000;
 /// A connection without a request is kept for so long.
-const IDLE: Time = 5_000_000;
+const IDLE: Time = 2_000_000;
 /// What a client that has been dismissed still sends is read for so long and so many bytes: a close with bytes unread
 /// resets the connection, which may destroy the last answer on its way.
 const LEAVE: (Time, usize) = (1_000_000, 256 * 1024);
@@ -47,6 +47,8 @@
 const ABSURD: Time = 4;
 /// What is said to those who speak more of the protocol.
 const ONLY_SIMPLE: &str = "only simple queries are supported";
+/// This part of the places may be held by clients without a request.
+const MOST_IDLE: usize = 3;
 /// Clients that are looked at for the one that gives up its place.
 const LAST_LOOKS: usize = 8;
 /// Ids of late that are remembered, at the most.
@@ -216,6 +218,8 @@
     marked: Vec<Key>,
     /// Those that could be closed, in the order in which they would be.
     spare: BTreeSet<(Spare, Time, Key)>,
+    /// How many of them are idle.
+    idle: usize,
     draining: bool,
 }
 
@@ -235,6 +239,7 @@
             words: Words { names, ids: Ids::new(longest * ABSURD), budget: budget.clone() },
             marked: Vec::new(),
             spare: BTreeSet::new(),
+            idle: 0,
             draining: false,
         })
     }
@@ -325,8 +330,25 @@
         let spare = client.spare();
         if spare != client.spare {
             let old = std::mem::replace(&mut client.spare, spare);
-            old.map(|(kind, at)| self.spare.remove(&(kind, at, key)));
-            spare.map(|(kind, at)| self.spare.insert((kind, at, key)));
+            self.place(key, old, spare);
+        }
+    }
+
+    /// Moves a client among the spare ones.
+    fn place(&mut self, key: Key, old: Option<(Spare, Time)>, new: Option<(Spare, Time)>) {
+        let idle = |place: Option<(Spare, Time)>| usize::from(place.is_some_and(|p| p.0 == Spare::Idle));
+        self.idle = self.idle + idle(new) - idle(old);
+        old.map(|(kind, at)| self.spare.remove(&(kind, at, key)));
+        new.map(|(kind, at)| self.spare.insert((kind, at, key)));
+    }
+
+    /// Closes the clients that have been idle for longest where too many are. Danger: clients may hold only so many
+    /// connections, and those that ask once and hold on to theirs would leave none for the others.
+    fn thin_out(&mut self, core: &mut Core) {
+        let over = self.idle.saturating_sub(self.most / MOST_IDLE);
+        let idle = self.spare.range((Spare::Idle, 0, Key::from_number(0))..).take(over);
+        for key in idle.map(|&(_, _, key)| key).collect::<Vec<Key>>() {
+            self.close_idle(key, core);
         }
     }
 
@@ -357,7 +379,7 @@
     fn close(&mut self, key: Key, core: &mut Core) {
         let Some(mut client) = self.clients.remove(key) else { return };
         core.deadlines.set(&mut client.look, Due::Client(key), None);
-        client.spare.map(|(kind, at)| self.spare.remove(&(kind, at, key)));
+        self.place(key, client.spare.take(), None);
         for asked in client.pending.into_iter().filter_map(|p| p.request) {
             core.gone(asked.request);
         }
@@ -470,6 +492,7 @@
                 self.close_idle(key, core);
             }
         }
+        self.thin_out(core);
     }
 
     /// All has been said to a client that is to go: it is told so, and heard out; true once that is over.
--- a/router/tests/exchanges.rs
+++ b/router/tests/exchanges.rs
@@ -350,6 +350,34 @@
     insta::assert_snapshot!("limit", play.told);
 }
 
+/// Danger: clients may hold only so many connections; those that ask once and hold on to theirs would leave none for
+/// the others, who were turned away while the router had nothing to do.
+#[test]
+fn idle_clients_beyond_a_third_of_the_places_are_closed() {
+    let mut play = Play::start("idle", 64);
+    // Of 20 places 6 may be held without a request.
+    for client in 1..=7 {
+        play.step(&format!("c{client} connect"));
+        play.step(&format!("c{client} > {{startup}};Q|{{look:{client}}}\\0"));
+        if client == 1 {
+            for step in ["r1 accept r", "r1 < packet", "r1 > {hello}"] {
+                play.step(step);
+            }
+        }
+        for step in ["r1 < Q", "r1 > {row};{ready}"] {
+            play.step(step);
+        }
+        for _ in 0..2 {
+            play.step(&format!("c{client} < Z"));
+        }
+    }
+    play.told.clear();
+    for step in ["c1 < closed", "c2 > Q|\\0", "c2 < Z"] {
+        play.step(step);
+    }
+    insta::assert_snapshot!("idle", play.told);
+}
+
 #[test]
 fn a_faulty_configuration_is_one_line_and_no_start() {
     let run = |path: Option<&Path>| {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -14,15 +14,13 @@
 const CONNECT: f64 = 0.3; // ... and opening a connection, where routers are many: tables fill
 const KEEP_FRESH: f64 = 2.0; // a loose read costs so many times as much where the data is of use to others
 const LONG: f64 = 4.0; // a class that takes so many times the least of all is long: it may hold the log up
-const LONG_STEP: f64 = 1.0; // what each further replica adds to a long read's cost: a few take them all
 const GAIN: f64 = 0.1; // weight of a new sample in running means: some ten samples of memory
 const FIRST_LATENCY: f64 = 0.3; // first guess of a class's latency as a share of its aim
 const SLOW_RANGE: (f64, f64) = (0.5, 12.0); // bounds of slowness: one sample can't banish a node
 const SLOW_FADE: f64 = 8e6; // slowness fades towards 1 with this time constant: nodes are tried again
 const SILENCE: f64 = 9.0; // unanswered waits, in mean latencies, that set a node aside: e^-9 if it is well
 const SILENCE_EACH: f64 = 3.5; // the most that one attempt counts in that sum: one hard read is no proof
-const VOUCH: Span = 60_000; // a node that a probe was sent to in doubt must answer it within this time
-const GREY: Span = 600_000; // one that answers probes, but no request for so long, is set aside all the same
+const DOUBT: (Span, Span) = (60_000, 600_000); // in doubt a node must answer a probe, and a request, by then
 const TRIAL: (Span, Span) = (500_000, 4_000_000); // first wait before a trial, the longest after doublings
 const COMMON_CAUSE: f64 = 0.5; // the most of those in service set aside: beyond it the cause is common
 const PATIENCE: f64 = 16.0; // mean latencies until a read times out: late, since a time-out brings repeats
@@ -101,6 +99,7 @@
 struct Node {
     entry: NodeEntry,
     closed: Option<Time>, // when this router was told that it drains or is gone
+    gone: bool,           // no list names it any more
     position: Time,
     heard: Time, // when `position` was learned
     denied: Option<Time>,
@@ -230,12 +229,27 @@
             let absent = self.nodes.iter_mut().filter(|(id, _)| !named.contains(id));
             for (_, node) in absent.filter(|_| !self.cfg.dropped_stay_open) {
                 node.closed.get_or_insert(self.now);
+                node.gone = true;
             }
         }
         for entry in entries {
             self.listed(entry);
         }
         self.in_service = self.nodes.values().filter(|n| n.closed.is_none()).count();
+        self.prune();
+    }
+
+    /// Loses nodes that are gone once nothing is out there. Danger: day by day new ones take their places.
+    fn prune(&mut self) {
+        let attempts = self.requests.values().flat_map(|r| &r.attempts);
+        let known: BTreeSet<&NodeId> = attempts.map(|a| &a.node).collect();
+        self.nodes.retain(|id, node| !node.gone || !node.out.is_empty() || known.contains(id));
+        self.busy.retain(|id| self.nodes.contains_key(id));
+        for group in self.groups.values_mut() {
+            group.members.retain(|id| self.nodes.contains_key(id));
+            group.primary.take_if(|(id, _)| !self.nodes.contains_key(id));
+        }
+        self.groups.retain(|_, group| !group.members.is_empty());
     }
 
     fn listed(&mut self, entry: NodeEntry) {
@@ -253,6 +267,7 @@
                 node.closed.get_or_insert(now);
             }
         }
+        node.gone = entry.state == Listed::Gone && !self.cfg.dropped_stay_open;
         let (old, new) = (node.entry.group, entry.group);
         let denied = node.denied.is_some_and(|at| now < at + DENIED_RANKS);
         let heads = entry.primary && entry.state == Listed::Serving && !denied;
@@ -267,6 +282,11 @@
         }
     }
 
+    /// How many nodes are known.
+    pub fn known_nodes(&self) -> usize {
+        self.nodes.len()
+    }
+
     // ---- roles and freshness
 
     /// What a node says of itself. A note is as new as its answer; a report may be old.
@@ -411,7 +431,7 @@
         let r = &self.requests[&id];
         // Where nothing else proves a replica fresh, the read waits for the report that it asked for.
         let pending = r.asked.as_ref().is_some_and(|(asked, at)| {
-            self.nodes[asked].told < *at
+            self.nodes.get(asked).is_some_and(|n| n.told < *at)
                 && self.now < at + PROBE_HOLD
                 && node.as_ref() == self.primary(r.what.group)
         });
@@ -522,9 +542,10 @@
         let old = |n: &Node| self.now.saturating_sub(n.position) > self.old;
         let mut order: Vec<&Node> = if loose { fresh.clone() } else { Vec::new() };
         order.sort_by_key(|n| n.position);
-        let long = self.is_long(r.what.class);
+        let least = self.classes.iter().map(|c| c.latency).fold(f64::INFINITY, f64::min);
+        let long = self.classes[r.what.class].latency >= least * LONG;
         let dearer = |n: &Node| match order.iter().position(|o| o.entry.node == n.entry.node) {
-            Some(place) if long => 1.0 + LONG_STEP * place as f64,
+            Some(place) if long => 1.0 + place as f64, // so a few take them all
             Some(_) if !old(n) => KEEP_FRESH,
             _ => 1.0,
         };
@@ -549,11 +570,6 @@
         (node, ask)
     }
 
-    fn is_long(&self, class: usize) -> bool {
-        let least = self.classes.iter().map(|c| c.latency).fold(f64::INFINITY, f64::min);
-        self.classes[class].latency >= least * LONG
-    }
-
     /// The last resort where nodes check reads; not one whose last word proves it too far behind to serve.
     fn most_advanced<'a>(&self, r: &Request, nodes: &[&'a Node]) -> Option<&'a Node> {
         let able = |n: &&&Node| self.usable(n) && !r.missed_at(n) && self.now > n.heard + UNSURE;
@@ -896,24 +912,21 @@
             if !node.suspect && sum + node.silence >= SILENCE && bad + 1.0 <= most {
                 // Danger: requests that wait in one queue are late together, so a node that is merely busy
                 // looks silent; what is taken back from it runs on there and again elsewhere.
-                if self.cfg.may_probe && now < node.answered + GREY {
+                if self.cfg.may_probe && now < node.answered + DOUBT.1 {
                     let vouched = node.told >= node.probed;
                     if vouched && now >= node.told + PROBE_GAP {
                         node.probed = now;
                         actions.push(Action::Probe(id.clone()));
                     }
-                    if vouched || now < node.probed + VOUCH {
+                    if vouched || now < node.probed + DOUBT.0 {
                         continue;
                     }
                 }
-                bad += 1.0;
-                node.suspect = true;
+                (bad, node.suspect) = (bad + 1.0, true);
                 node.wait_on(now);
                 let (out, idle) = (node.out.len(), now.saturating_sub(node.answered) / 1_000);
-                actions.push(Action::Log(format!(
-                    "node {id}: silent, set aside; {out} out, waited {sum:.1}+{:.1}, no answer for {idle} ms",
-                    node.silence
-                )));
+                let line = format!("node {id}: silent, set aside; {out} out, no answer for {idle} ms");
+                actions.push(Action::Log(line));
                 silent.push(id.clone());
             }
         }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -381,3 +381,31 @@
     rig.later(80 * MS);
     assert!(rig.refused(9), "it will have gone by the time that an answer could come");
 }
+
+#[test]
+fn nodes_that_are_gone_are_forgotten_once_nothing_is_out_there() {
+    // Danger: over days of replacements, new ids each time, the tables grew without end.
+    let mut rig = Rig::with(settings(), vec![entry("p", true), entry("r1", false)]);
+    assert_eq!(rig.request(demand(1, ANY)).as_deref(), Some("r1"));
+    for whole in [false, true] {
+        let list = if whole {
+            ListUpdate::Full(vec![entry("p", true)])
+        } else {
+            ListUpdate::Changes(vec![NodeEntry { state: Listed::Gone, ..entry("r1", false) }])
+        };
+        rig.event(Event::List(list.clone()));
+        assert_eq!(rig.balancer.known_nodes(), 2, "a read is still out there");
+        rig.ends(1, 0, Ending::Success, Standing::default());
+        rig.event(Event::List(list));
+        assert_eq!(rig.balancer.known_nodes(), 1);
+        rig.event(Event::List(ListUpdate::Full(vec![entry("p", true), entry("r1", false)])));
+        rig.request(demand(1, ANY));
+    }
+    for round in 0..500 {
+        let name = format!("r{}", round + 2);
+        rig.event(Event::List(ListUpdate::Changes(vec![entry(&name, false)])));
+        let gone = NodeEntry { state: Listed::Gone, ..entry(&name, false) };
+        rig.event(Event::List(ListUpdate::Changes(vec![gone])));
+    }
+    assert!(rig.balancer.known_nodes() <= 3);
+}
