Make the core a crate and the router a library, with the loop out of net/

Reason: the same requests, attempts and deadlines must run under sockets and under the virtual time of a model, and net, config, discovery, front and upstream imported each other in a circle.

Change: core/ holds requests, attempts, deadlines and tables; the router is a library with a small binary; the loop is router/src/serve.rs, and net/ knows nothing of what runs over it. Crates name their kind.

--- a/router/src/core.rs
+++ b/core/src/core.rs
@@ -4,8 +4,7 @@
 //! reports how they end. Here the table of requests, their attempts and the deadlines are kept, and here the rules that
 //! do not depend on a decision are held: one final answer each, no refusal of what may have run, no send once over.
 
-use crate::deadlines::{Deadlines, Due};
-use crate::table::{Key, Table};
+use crate::{Deadlines, Due, Key, Table};
 use plovercove::*;
 use std::collections::BTreeMap;
 use tracing::{debug, info, warn};
@@ -26,15 +25,34 @@
 #[derive(Debug)]
 pub enum Command {
     /// Start an attempt for a request of this client.
-    Send { attempt: AttemptId, origin: Key, node: NodeId },
+    Send {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The client, as the front named it.
+        origin: Key,
+        /// Where it goes.
+        node: NodeId,
+    },
     /// Stop an attempt: its answer must reach nobody.
-    GiveUp { attempt: AttemptId, node: NodeId },
+    GiveUp {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Where it went.
+        node: NodeId,
+    },
     /// Ask a node for its report.
     Probe(NodeId),
     /// Close the idle connections to a node.
     CloseIdle(NodeId),
     /// Give a request its final answer.
-    Answer { request: Key, origin: Key, answer: Answer },
+    Answer {
+        /// The request.
+        request: Key,
+        /// Its client.
+        origin: Key,
+        /// What it is told.
+        answer: Answer,
+    },
 }
 
 /// A final answer that no node made.
--- a/router/src/deadlines.rs
+++ b/core/src/deadlines.rs
@@ -1,7 +1,6 @@
 //! All deadlines of the router, in one ordered structure.
 
-use crate::core::AttemptId;
-use crate::table::Key;
+use crate::{AttemptId, Key};
 use plovercove::Time;
 use std::collections::BTreeSet;
 
--- a/router/src/table.rs
+++ b/core/src/table.rs
@@ -30,10 +30,16 @@
     serial: u32,
 }
 
+impl<T> Default for Table<T> {
+    fn default() -> Self {
+        Table { slots: Slab::new(), serial: 0 }
+    }
+}
+
 impl<T> Table<T> {
     /// An empty table.
     pub fn new() -> Self {
-        Table { slots: Slab::new(), serial: 0 }
+        Table::default()
     }
 
     /// How many entries there are.
@@ -66,6 +72,11 @@
         Some(self.slots.remove(key.slot()).1)
     }
 
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.slots.is_empty()
+    }
+
     /// All entries.
     pub fn iter(&self) -> impl Iterator<Item = (Key, &T)> {
         self.slots.iter().map(|(_, (key, entry))| (*key, entry))
--- a/router/src/clock.rs
+++ b/router/src/clock.rs
@@ -12,13 +12,15 @@
     unix: Time,
 }
 
-impl Clock {
+impl Default for Clock {
     /// A clock that starts at the system's time.
-    pub fn new() -> Self {
+    fn default() -> Self {
         let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
         Clock { start: Instant::now(), unix: unix.as_micros() as Time }
     }
+}
 
+impl Clock {
     /// The time now.
     pub fn now(&self) -> Time {
         self.unix + self.start.elapsed().as_micros() as Time
--- a/router/src/discovery.rs
+++ b/router/src/discovery.rs
@@ -4,12 +4,11 @@
 //! which an answer was read. An agent that is silent or refuses leaves the list as it is.
 
 use crate::clock;
-use crate::core::Core;
-use crate::deadlines::Due;
 use crate::net::budget::Budget;
 use crate::net::stream::{Peer, Stream};
 use crate::net::{Source, begin_connect, poll_key};
 use plovercove::{Listed, NodeEntry, Time};
+use plovercove_core::{Core, Due};
 use plovercove_poller::{Interest, Poll};
 use plovercove_settings::{Fault, Part, Read, Value, flag, list, number, parse, text, whole};
 use std::io;
--- a/router/src/front/pg.rs
+++ b/router/src/front/pg.rs
@@ -1,14 +1,12 @@
 //! The clients: PostgreSQL sessions with simple queries, answered in the order they came.
 
 use crate::clock;
-use crate::core::{Answer, Core};
-use crate::deadlines::Due;
 use crate::net::budget::{Budget, Buffer, Share};
 use crate::net::stream::{Peer, Stream};
 use crate::net::{Source, poll_key};
 use crate::pgwire::{self, Opening, Statement, code};
-use crate::table::{Key, Table};
 use plovercove::{Access, Demand, Time};
+use plovercove_core::{Answer, Core, Due, Key, Table};
 use plovercove_poller::{Interest, Poll, Registered};
 use plovercove_settings::Names;
 use socket2::SockRef;
@@ -245,7 +243,7 @@
     }
 
     /// How many clients are connected.
-    pub fn len(&self) -> usize {
+    pub fn connected(&self) -> usize {
         self.clients.len()
     }
 
--- /dev/null
+++ b/router/src/lib.rs
@@ -0,0 +1,11 @@
+//! The plovercove router: PostgreSQL clients in front, db nodes behind, and one loop between them round
+//! `plovercove-core`. The program `plovercove` is this library with a command line.
+
+pub mod clock;
+pub mod config;
+pub mod discovery;
+pub mod front;
+pub mod net;
+pub mod pgwire;
+pub mod serve;
+pub mod upstream;
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -1,17 +1,7 @@
 //! plovercove, the router: PostgreSQL clients in front, groups of replicated db nodes behind, and in between the
-//! decision module. `net` holds the loop; `core` turns what comes into the module's events and its actions into commands.
-
-mod clock;
-mod config;
-mod core;
-mod deadlines;
-mod discovery;
-mod front;
-mod net;
-mod pgwire;
-mod table;
-mod upstream;
+//! decision module. All of it is in the library; here are the command line, the log and the exit code.
 
+use plovercove_router::{config, net, serve};
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
@@ -36,7 +26,7 @@
         .with_target(false)
         .with_max_level(config.log)
         .init();
-    match net::Router::new(config, signals).and_then(net::Router::run) {
+    match serve::Router::new(config, signals).and_then(serve::Router::run) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             tracing::error!("cannot go on: {e}");
--- a/router/src/net/mod.rs
+++ b/router/src/net/mod.rs
@@ -1,32 +1,13 @@
-//! The one loop: it waits on the poller, hands what has come to the parts, lets the module decide, and carries that out.
+//! Sockets: connecting, buffering, the budget of bytes, signals and the numbers under which they hang on the poller.
 
 pub mod budget;
 pub mod signals;
 pub mod stream;
 
-use crate::clock::Clock;
-use crate::config::{self, Config};
-use crate::core::{Command, Core};
-use crate::deadlines::Due;
-use crate::discovery::{Discovery, Listing};
-use crate::front::pg::Front;
-use crate::table::Key;
-use crate::upstream::pg::Upstream;
-use budget::Budget;
-use plovercove::{ListUpdate, Listed, Time};
-use plovercove_poller::{Events, Poll};
-use plovercove_settings::Names;
-use signals::{Registration, Signal, Signals};
+use plovercove_core::Key;
 use socket2::{Domain, Socket, Type};
-use std::io::{self, ErrorKind};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::time::Duration;
-use tracing::{debug, info, warn};
-
-/// After SIGTERM new connections are taken in for so long.
-const STILL_ACCEPTING: Time = 500_000;
-/// Rounds of decisions in one turn: what a connection tells at once may bring on the next decision.
-const ROUNDS: u32 = 16;
+use std::io;
+use std::net::{SocketAddr, TcpStream};
 
 /// Whom an event of the poller is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,7 +31,8 @@
     (source as usize) << SOURCE_SHIFT | key.map_or(0, |k| k.number() as usize)
 }
 
-fn split(number: usize) -> (Option<Source>, Key) {
+/// Whom that number stands for.
+pub fn split(number: usize) -> (Option<Source>, Key) {
     let sources = [Source::Listener, Source::Signal, Source::Discovery, Source::Client, Source::Backend];
     let source = sources.into_iter().find(|s| *s as usize == number >> SOURCE_SHIFT);
     (source, Key::from_number(number as u64 & ((1 << SOURCE_SHIFT) - 1)))
@@ -66,202 +48,3 @@
         _ => Ok(socket.into()),
     }
 }
-
-/// The router: its parts and the loop round them.
-pub struct Router {
-    clock: Clock,
-    poll: Poll,
-    signals: Registration,
-    core: Core,
-    front: Front,
-    upstream: Upstream,
-    discovery: Discovery,
-    stopping: bool,
-}
-
-impl Router {
-    /// A router that listens, and knows the list that it was given.
-    pub fn new(config: Config, signals: Signals) -> io::Result<Self> {
-        let poll = Poll::new()?;
-        let signals = signals.register(&poll)?;
-        let listener = TcpListener::bind(config.listen)?;
-        let listen = listener.local_addr()?;
-        let (settings, budget) = (config.settings, Budget::new(config.buffered));
-        let longest = settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
-        let names = Names::of(&settings);
-        let mut router = Router {
-            clock: Clock::new(),
-            signals,
-            front: Front::new(&poll, &budget, listener, config.clients, names, longest)?,
-            upstream: Upstream::new(
-                &poll,
-                &budget,
-                config.backends,
-                settings.connect_timeout,
-                settings.connection_idle,
-            ),
-            discovery: Discovery::new(&poll, config.discovery),
-            core: Core::new(settings, config.seed),
-            poll,
-            stopping: false,
-        };
-        router.list(config.known, true);
-        info!(name = config.name, %listen, "serving");
-        Ok(router)
-    }
-
-    /// Runs until the way out after SIGTERM has been gone to its end.
-    pub fn run(mut self) -> io::Result<()> {
-        let mut events = Events::new();
-        let now = self.clock.now();
-        self.discovery.start(now, &mut self.core);
-        let mut at_once = self.decide(now);
-        while !(self.stopping && self.front.len() == 0) {
-            let now = self.clock.now();
-            let next = self.core.deadlines.next().map(|at| Duration::from_micros(at.saturating_sub(now)));
-            let timeout = if at_once { Some(Duration::ZERO) } else { next };
-            match self.poll.wait(&mut events, timeout) {
-                Err(e) if e.kind() != ErrorKind::Interrupted => return Err(e),
-                _ => {}
-            }
-            at_once = self.turn(&events);
-        }
-        info!("all is answered");
-        Ok(())
-    }
-
-    /// One turn of the loop; true where something is left to decide at once.
-    fn turn(&mut self, events: &Events) -> bool {
-        let now = self.clock.now();
-        let all = || {
-            events
-                .iter()
-                .map(|event| (split(event.key), event.is_interrupt() || event.is_err() == Some(true)))
-        };
-        let of = |wanted: Source| {
-            all()
-                .filter(move |((source, _), _)| *source == Some(wanted))
-                .map(|((_, key), hung_up)| (key, hung_up))
-        };
-        // What discovery says goes first: whatever else is read in this turn is decided by the new list.
-        for _ in of(Source::Discovery) {
-            for listing in self.discovery.event(now, &mut self.core) {
-                self.list(listing, false);
-            }
-        }
-        for _ in of(Source::Signal) {
-            for signal in self.signals.take() {
-                match signal {
-                    Signal::Reload => self.reload(now),
-                    Signal::Stop => self.terminate(now),
-                }
-            }
-        }
-        for (key, _) in of(Source::Backend) {
-            self.upstream.event(key, now, &mut self.core);
-        }
-        self.pass_on();
-        for (key, hung_up) in of(Source::Client) {
-            self.front.event(key, hung_up, &mut self.core);
-        }
-        for _ in of(Source::Listener) {
-            self.front.accept(now, &mut self.core);
-        }
-        while let Some(due) = self.core.deadlines.pop(now) {
-            self.due(due, now);
-        }
-        self.front.pump(now, &mut self.core);
-        self.decide(now)
-    }
-
-    fn due(&mut self, due: Due, now: Time) {
-        match due {
-            Due::Wake => self.core.wake(),
-            Due::Attempt(id) => self.core.timed_out(id, now),
-            Due::Backend(key) => self.upstream.expired(key, now, &mut self.core),
-            Due::Client(key) => self.front.look_over(key, now, &mut self.core),
-            Due::Discovery => self.discovery.due(now, &mut self.core),
-            Due::Accept => self.front.resume_accepting(now, &mut self.core),
-            Due::Stop => {
-                self.front.drain(now, &mut self.core);
-                self.stopping = true;
-            }
-        }
-    }
-
-    /// Decides and carries out, until nothing more comes of it; true where it has not come to an end.
-    fn decide(&mut self, now: Time) -> bool {
-        for _ in 0..ROUNDS {
-            let commands = self.core.decide(now);
-            if commands.is_empty() {
-                break;
-            }
-            for command in commands {
-                self.carry_out(command, now);
-            }
-            self.pass_on();
-            self.front.pump(now, &mut self.core);
-        }
-        self.core.has_news() || self.front.has_marked()
-    }
-
-    fn carry_out(&mut self, command: Command, now: Time) {
-        let core = &mut self.core;
-        match command {
-            Command::Send { attempt, origin, node } => match self.front.statement(origin, attempt.request) {
-                Some(statement) => self.upstream.send(attempt, statement, &node, now, core),
-                None => core.unsent(attempt, now),
-            },
-            Command::GiveUp { attempt, node } => self.upstream.give_up(attempt, &node, core),
-            Command::Probe(node) => self.upstream.probe(&node, now, core),
-            Command::CloseIdle(node) => self.upstream.close_idle(&node, core),
-            Command::Answer { request, origin, answer } => self.front.concluded(origin, request, answer),
-        }
-    }
-
-    fn pass_on(&mut self) {
-        for served in self.upstream.take_served() {
-            self.front.served(served.origin, served.request, served.reply);
-        }
-    }
-
-    fn list(&mut self, listing: Listing, restored: bool) {
-        if listing.whole {
-            let named = listing.entries.iter().map(|(entry, _)| &entry.node).collect();
-            self.upstream.keep_only(&named, &mut self.core);
-        }
-        let mut entries = Vec::with_capacity(listing.entries.len());
-        for (entry, address) in listing.entries {
-            debug!(node = %entry.node, group = entry.group, state = ?entry.state, primary = entry.primary, "listed");
-            if let Some(address) = address {
-                self.upstream.locate(&entry.node, address, &mut self.core);
-            }
-            if entry.state != Listed::Serving {
-                self.upstream.retire(&entry.node, entry.state == Listed::Gone, &mut self.core);
-            }
-            entries.push(entry);
-        }
-        self.upstream.forget_gone();
-        self.core.list(match (restored, listing.whole) {
-            (true, _) => ListUpdate::Restored(entries),
-            (false, true) => ListUpdate::Full(entries),
-            (false, false) => ListUpdate::Changes(entries),
-        });
-    }
-
-    /// Takes over what a running router can; a file that is no good leaves all as it was.
-    fn reload(&mut self, now: Time) {
-        match config::reread() {
-            Ok(config) => {
-                info!(discovery = %config.discovery, "SIGHUP: the configuration was read again");
-                self.discovery.move_to(config.discovery, now, &mut self.core);
-            }
-            Err(fault) => warn!("SIGHUP: {fault}; the configuration stays as it was"),
-        }
-    }
-
-    fn terminate(&mut self, now: Time) {
-        info!(held = self.core.held(), "SIGTERM: finishing what has been taken on");
-        self.core.deadlines.add(now + STILL_ACCEPTING, Due::Stop);
-    }
-}
--- a/router/src/upstream/pg.rs
+++ b/router/src/upstream/pg.rs
@@ -2,14 +2,12 @@
 
 use super::reply::{self, Reply, Spoilt};
 use crate::clock;
-use crate::core::{AttemptId, Core};
-use crate::deadlines::Due;
 use crate::net::budget::{Budget, Buffer};
 use crate::net::stream::{Peer, Stream};
 use crate::net::{Source, begin_connect, poll_key};
 use crate::pgwire::{self, Statement, code};
-use crate::table::{Key, Table};
 use plovercove::{Ending, NodeId, Span, Standing, Time};
+use plovercove_core::{AttemptId, Core, Due, Key, Table};
 use plovercove_poller::{Interest, Poll};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::io::{self, ErrorKind};
