Add tiers: zones in order of preference, a limit on spill and a way back on evidence

Reason: a lost zone was met with a nudge of 0.3 of a read's cost; nothing limited what spilled over, and nothing but each node's own cold share held the way back.

Change: crate tiers (no I/O, no clock): rules, evidence of each zone's state, allowances of work that routers sharing nothing keep together, ramps that rise on answers, RFC 2439 penalties. The module asks it through the trait Zoning and takes the nearest tier with room.

--- a/adapter/src/write.rs
+++ b/adapter/src/write.rs
@@ -43,10 +43,6 @@
         Action::Fail { request } => write!(reply, "[\"DropRequest\",{request}]"),
         Action::Wake(delay) => write!(reply, "[\"WakeAt\",{delay},\"wake\"]"),
         Action::Probe(node) => write!(reply, "[\"Check\",{}]", quoted(node)),
-        Action::Tell { to, payload } => {
-            let bytes: String = payload.iter().map(|b| format!("{b:02x}")).collect();
-            write!(reply, "[\"Notify\",{},\"{bytes}\"]", to.map_or(-1, i64::from))
-        }
         Action::Close(node) => write!(reply, "[\"HangUp\",{}]", quoted(node)),
         Action::Subscribe => write!(reply, "[\"Track\",true]"),
         Action::Log(line) => write!(reply, "[\"Record\",{}]", quoted(line)),
--- a/core/src/core.rs
+++ b/core/src/core.rs
@@ -112,6 +112,12 @@
         }
     }
 
+    /// From now on this says which zones a request may use.
+    pub fn zoned(mut self, zoning: Box<dyn Zoning>) -> Self {
+        self.balancer.zoning = Some(zoning);
+        self
+    }
+
     /// How many requests are owed an answer or have an attempt out.
     pub fn held(&self) -> usize {
         self.requests.len()
@@ -276,8 +282,8 @@
             Action::Probe(node) => self.commands.push(Command::Probe(node)),
             Action::Close(node) => self.commands.push(Command::CloseIdle(node)),
             Action::Log(line) => info!("{line}"),
-            // The watch is always on, and routers have no way to talk to each other.
-            Action::Subscribe | Action::Tell { .. } => {}
+            // The watch is always on.
+            Action::Subscribe => {}
         }
     }
 
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -273,7 +273,6 @@
             subscribe: top.word("Discovery", &[("automatic", false), ("subscribe", true)])?,
             ask_every: rules.maybe("AskEvery", whole)?.unwrap_or(0),
             may_probe: yes(&limits, "Probing")?,
-            may_tell_peers: yes(&limits, "Peers")?,
             may_cancel: yes(&limits, "Cancel")?,
             second_copies: yes(&limits, "SecondCopies")?,
             retry_after: yes(&limits, "RetryAfter")?,
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -46,8 +46,6 @@
 const GATE_WORST: f64 = 2.0; // ... at most so many aims
 const GATE_RISE: f64 = 0.02; // what each request kept out adds: a shut gate must reopen without answers
 const GATE_CREDIT: f64 = 0.4; // good answers are banked up to this: else their mere spread would refuse some
-const PEERS_TOLD: u32 = 5; // random peers told of each step of a group's gate
-const PEERS_FLOOR: f64 = -1.5; // peers' word shuts a gate no further: a false one may slow, never close
 const LOOK_OVER: Span = 20_000; // period of the look-over while anything is out or waiting
 const TOKEN_SLACK: Span = 1_000; // a carried token may be rounded by up to this
 
@@ -90,8 +88,8 @@
 }
 
 impl Request {
-    fn missed_at(&self, node: &Node) -> bool {
-        self.attempts.iter().any(|a| a.node == node.entry.node && a.missed)
+    fn at<'a>(&'a self, node: &'a Node) -> impl Iterator<Item = &'a Attempt> {
+        self.attempts.iter().filter(|a| a.node == node.entry.node)
     }
 }
 
@@ -119,7 +117,8 @@
     full_until: Time,
     probed: Time, // when it was last probed, and when a probe of it last ended
     told: Time,
-    linked: bool, // a connection to it is open, as far as this router can tell
+    linked: bool,         // a connection to it is open, as far as this router can tell
+    level: Option<Level>, // what it is to the request that is being placed
 }
 
 #[derive(Default)]
@@ -165,6 +164,8 @@
     written: BTreeMap<Arc<str>, Time>,
     wake: Option<Time>,
     resubscribe: Option<Time>,
+    /// Says which zones a request may use now; where there is none, all of them.
+    pub zoning: Option<Box<dyn Zoning>>,
 }
 
 impl Balancer {
@@ -205,8 +206,8 @@
                 }
                 Event::Abandoned { request } => self.left(request),
                 Event::Probed { node, answered: true, report } => self.learn(&node, report, false, actions),
-                Event::Peer { payload, .. } => self.told(&payload),
-                Event::Timer | Event::Probed { .. } => {}
+                // Routers share nothing: what a peer says is not followed.
+                Event::Timer | Event::Probed { .. } | Event::Peer { .. } => {}
             }
         }
         self.settle(actions);
@@ -215,6 +216,7 @@
     // ---- the node list
 
     fn list(&mut self, update: ListUpdate) {
+        self.zoning.iter_mut().for_each(|z| z.listed(self.now, &update));
         let (entries, full) = match update {
             ListUpdate::Changes(entries) => (entries, false),
             ListUpdate::Full(entries) | ListUpdate::Restored(entries) => (entries, true),
@@ -263,18 +265,14 @@
         match entry.state {
             Listed::Serving => node.closed = None,
             Listed::Gone if self.cfg.dropped_stay_open => {}
-            Listed::Draining | Listed::Gone => {
-                node.closed.get_or_insert(now);
-            }
+            Listed::Draining | Listed::Gone => drop(node.closed.get_or_insert(now)),
         }
         node.gone = entry.state == Listed::Gone && !self.cfg.dropped_stay_open;
         let (old, new) = (node.entry.group, entry.group);
         let denied = node.denied.is_some_and(|at| now < at + DENIED_RANKS);
         let heads = entry.primary && entry.state == Listed::Serving && !denied;
         node.entry = entry;
-        if let Some(group) = self.groups.get_mut(&old) {
-            group.members.remove(&id);
-        }
+        self.groups.get_mut(&old).map(|group| group.members.remove(&id));
         let group = self.groups.entry(new).or_default();
         group.members.insert(id.clone());
         if heads && group.primary.is_none() {
@@ -325,11 +323,7 @@
     }
 
     /// Whether a replica's data will do for a read: proved where it must be, expected where the node checks.
-    fn fresh(&self, node: &Node, r: &Request) -> bool {
-        self.fresh_at(self.now, node, r)
-    }
-
-    fn fresh_at(&self, now: Time, node: &Node, r: &Request) -> bool {
+    fn fresh(&self, now: Time, node: &Node, r: &Request) -> bool {
         let need = match self.cfg.classes[r.what.class].access {
             Access::Write => return false,
             Access::Any => return true,
@@ -351,11 +345,9 @@
     /// Whether a send decided earlier may go out now: it waited for a connection, and the list, the roles and
     /// the age of the node's data may have changed since.
     pub fn still_fits(&self, now: Time, request: RequestId, node: &NodeId) -> bool {
-        let Some(r) = self.requests.get(&request) else { return false };
-        let Some(node) = self.nodes.get(node) else { return false };
+        let (Some(r), Some(node)) = (self.requests.get(&request), self.nodes.get(node)) else { return false };
         let head = self.primary(r.what.group) == Some(&node.entry.node);
-        let write = self.cfg.classes[r.what.class].access == Access::Write;
-        node.closed.is_none() && (write || head || self.fresh_at(now, node, r))
+        node.closed.is_none() && (self.is_write(request) || head || self.fresh(now, node, r))
     }
 
     // ---- placement
@@ -371,7 +363,7 @@
 
     fn cost(&self, node: &Node, r: &Request) -> f64 {
         // No discount for a node that swallowed an answer of this request: it would be chosen over and over.
-        let retried = r.attempts.iter().any(|a| a.node == node.entry.node && a.fate != Fate::NotRun);
+        let retried = r.at(node).any(|a| a.fate != Fate::NotRun);
         let sf = if retried { 0.0 } else { Self::similarity(node, &r.what) };
         (1.0 - ALPHA * sf) * self.classes[r.what.class].latency
     }
@@ -379,7 +371,7 @@
     /// W: list weight, observed relative speed and the warm share.
     fn weight(&self, node: &Node) -> f64 {
         let listed = if self.cfg.weights == WeightMeaning::None { 1.0 } else { node.entry.weight.max(0.01) };
-        listed / node.slowness(self.now) * self.warm_share(node)
+        listed / node.slowness(self.now) * self.warm_share(node) * node.level.map_or(1.0, |l| l.counts)
     }
 
     fn warm_share(&self, node: &Node) -> f64 {
@@ -399,8 +391,7 @@
         let open = !self.thin || r.luck <= node.gate.level.min(pool).min(0.0) * self.mean_worth / worth;
         let warm = self.warm_share(node);
         // Danger: a cold node's refusals were sent to it over and over, which counts towards pushing it over.
-        let again = r.attempts.iter().any(|a| a.node == node.entry.node);
-        open && (warm >= 1.0 || (!again && r.luck <= (warm * COLD_USE).ln()))
+        open && (warm >= 1.0 || (r.at(node).next().is_none() && r.luck <= (warm * COLD_USE).ln()))
     }
 
     /// Whether a node may get an attempt now, whatever its data.
@@ -422,6 +413,7 @@
 
     /// Where a request goes now, if anywhere. What chance kept out of nodes it wanted is marked as barred.
     fn choose(&mut self, id: RequestId, actions: &mut Vec<Action>) -> Option<NodeId> {
+        let shut = self.consult(id);
         let (node, kept, ask) = self.search(id);
         let (group, write) = (self.requests[&id].what.group, self.is_write(id));
         for node in &kept {
@@ -439,7 +431,7 @@
         let unproved = node.is_none() || node.as_ref() == self.primary(r.what.group);
         let hold = proof && (pending || (unproved && r.asked.is_none() && ask.is_some()));
         let r = self.requests.get_mut(&id).expect("placed requests exist");
-        r.barred = !kept.is_empty();
+        r.barred = !kept.is_empty() || (shut && node.is_none() && ask.is_none());
         if let Some(asked) = ask {
             r.asked.get_or_insert((asked.clone(), self.now));
             self.nodes.get_mut(&asked).expect("listed").probed = self.now;
@@ -448,10 +440,22 @@
         node.filter(|_| !hold)
     }
 
+    /// Asks what each member is to a request now; true where some are shut to it.
+    fn consult(&mut self, id: RequestId) -> bool {
+        let (r, Some(zoning)) = (&self.requests[&id], &mut self.zoning) else { return false };
+        let (ask, mut shut) = (ask(&self.cfg, r), false);
+        for member in self.groups.get(&r.what.group).iter().flat_map(|g| &g.members) {
+            let node = self.nodes.get_mut(member).expect("listed");
+            node.level = zoning.level(self.now, &ask, member);
+            shut |= node.level.is_none();
+        }
+        shut
+    }
+
     /// Steps the gates by the share of its aim that an attempt took.
     fn judge(
         &mut self, node: &NodeId, (class, group, write): (usize, GroupId, bool),
-        (ending, elapsed): (Ending, Span), actions: &mut Vec<Action>,
+        (ending, elapsed): (Ending, Span),
     ) {
         let share = (elapsed as f64 / self.cfg.classes[class].aim.max(1) as f64).min(GATE_WORST);
         let share = match ending {
@@ -470,33 +474,6 @@
             node.adapt(self.now, (ending != Ending::Success || share > LIMIT_AIM).then_some(cut));
         }
         self.groups.entry(group).or_default().gates[usize::from(write)].step(self.now, step);
-        if self.cfg.may_tell_peers && self.thin {
-            self.tell(group, write, step, actions);
-        }
-    }
-
-    /// Passes on what an answer said of a group: one router's own answers are too few to see a jam in time.
-    fn tell(&mut self, group: GroupId, write: bool, step: f64, actions: &mut Vec<Action>) {
-        let hundredths = (step * 100.0).round().clamp(-100.0, 100.0) as i8;
-        let payload = [&group.to_le_bytes()[..], &[u8::from(write), hundredths as u8]].concat();
-        for _ in 0..PEERS_TOLD {
-            let to = (self.draw() % u64::from(self.cfg.routers)) as u32;
-            if to != self.cfg.index {
-                actions.push(Action::Tell { to: Some(to), payload: payload.clone() });
-            }
-        }
-    }
-
-    /// A peer's word counts like an answer, but within bounds: it may be late, repeated, foreign or false.
-    fn told(&mut self, payload: &[u8]) {
-        let Ok(bytes) = <[u8; 10]>::try_from(payload) else { return };
-        let [head @ .., write, step] = bytes;
-        let Some(group) = self.groups.get_mut(&u64::from_le_bytes(head)) else { return };
-        let gate = &mut group.gates[usize::from(write == 1)];
-        let step = (f64::from(step as i8) / 100.0).clamp(-GATE_GAIN * GATE_WORST, GATE_GAIN);
-        if step > 0.0 || gate.level > PEERS_FLOOR {
-            gate.step(self.now, step);
-        }
     }
 
     /// Where a request may go, the nodes that chance kept it from, and a node to ask for its position.
@@ -505,7 +482,8 @@
         let Some(group) = self.groups.get(&r.what.group) else { return Default::default() };
         let primary = group.primary.as_ref().map(|(id, _)| id);
         let access = self.cfg.classes[r.what.class].access;
-        let members = group.members.iter().filter_map(|m| self.nodes.get(m)).filter(|n| self.may_send(r, n));
+        let may = |n: &&Node| (self.zoning.is_none() || n.level.is_some()) && self.may_send(r, n);
+        let members = group.members.iter().filter_map(|m| self.nodes.get(m)).filter(may);
         let (all, kept): (Vec<&Node>, Vec<&Node>) = members.partition(|n| self.admitted(r, n));
         let wanted = |n: &&Node| (Some(&n.entry.node) == primary) == (access == Access::Write);
         let kept: Vec<NodeId> = kept.into_iter().filter(wanted).map(Node::id).collect();
@@ -515,24 +493,42 @@
             Access::Write => self.scout(r, &all),
             Access::Latest => (head.or_else(|| self.most_advanced(r, &all)), None),
             _ => {
-                let other = |n: &&Node| Some(&n.entry.node) != primary && !r.missed_at(n);
+                let other = |n: &&Node| Some(&n.entry.node) != primary && !r.at(n).any(|a| a.missed);
                 let replicas: Vec<&Node> = all.iter().copied().filter(other).collect();
-                self.read(r, &replicas, head)
+                self.by_tier(r, &replicas, head)
             }
         };
         (node.map(Node::id), kept, ask.map(Node::id))
     }
 
+    /// The nearest tier with a replica for it; the primary where none has one.
+    fn by_tier<'a>(
+        &self, r: &Request, replicas: &[&'a Node], head: Option<&'a Node>,
+    ) -> (Option<&'a Node>, Option<&'a Node>) {
+        let tier = |n: &Node| n.level.map_or(0, |l| l.tier);
+        let (mut tiers, mut asked) = (replicas.iter().map(|n| tier(n)).collect::<BTreeSet<u32>>(), None);
+        while let Some(near) = tiers.pop_first() {
+            let within: Vec<&Node> = replicas.iter().copied().filter(|n| tier(n) <= near).collect();
+            let (node, ask) = self.read(r, &within, head.filter(|_| tiers.is_empty()));
+            asked = asked.or(ask);
+            if node.is_some() {
+                return (node, asked);
+            }
+        }
+        (head.filter(|_| replicas.is_empty()), asked)
+    }
+
     /// The ordinary path: least E / W among the replicas fresh enough; and whom to ask for its position.
     fn read<'a>(
         &self, r: &Request, replicas: &[&'a Node], head: Option<&'a Node>,
     ) -> (Option<&'a Node>, Option<&'a Node>) {
-        let trial = replicas.iter().find(|n| self.on_trial(n) && r.attempts.is_empty() && self.fresh(n, r));
+        let trial =
+            replicas.iter().find(|n| self.on_trial(n) && r.attempts.is_empty() && self.fresh(self.now, n, r));
         if trial.is_some() {
             return (trial.copied(), None);
         }
-        let serving = replicas.iter().copied().filter(|n| n.closed.is_none() && !n.suspect);
-        let (fresh, behind): (Vec<&Node>, Vec<&Node>) = serving.partition(|n| self.fresh(n, r));
+        let serving = replicas.iter().filter(|n| n.closed.is_none() && !n.suspect);
+        let (fresh, behind): (Vec<&Node>, Vec<&Node>) = serving.partition(|n| self.fresh(self.now, n, r));
         // Hundreds of routers pay for each other's probes, so there one is asked only when the answer may win
         // a read its first replica. A few ask whenever one falls out: else all crowd on the one last asked.
         let needed = fresh.is_empty() || self.cfg.replica_check != ReplicaCheck::None || !self.thin;
@@ -559,20 +555,18 @@
         let scored: Vec<(f64, &Node)> = fresh.iter().copied().filter(|n| self.usable(n)).map(score).collect();
         let least = scored.iter().map(|s| s.0).fold(f64::INFINITY, f64::min);
         let tied: Vec<&Node> = scored.into_iter().filter(|s| s.0 <= least * NEAR_TIE).map(|s| s.1).collect();
-        let node = if !tied.is_empty() {
-            Some(tied[((self.turn + 1) % tied.len() as u64) as usize])
-        } else if !fresh.is_empty() {
+        let node = match tied.len() {
             // Where fresh replicas exist but are full, the primary keeps room for its writes.
-            head.filter(|n| self.has_room(n, SPILL))
-        } else {
-            head.or_else(|| self.most_advanced(r, replicas))
+            0 if !fresh.is_empty() => head.filter(|n| self.has_room(n, SPILL)),
+            0 => head.or_else(|| self.most_advanced(r, replicas)),
+            all => Some(tied[((self.turn + 1) % all as u64) as usize]),
         };
         (node, ask)
     }
 
     /// The last resort where nodes check reads; not one whose last word proves it too far behind to serve.
     fn most_advanced<'a>(&self, r: &Request, nodes: &[&'a Node]) -> Option<&'a Node> {
-        let able = |n: &&&Node| self.usable(n) && !r.missed_at(n) && self.now > n.heard + UNSURE;
+        let able = |n: &&&Node| self.usable(n) && !r.at(n).any(|a| a.missed) && self.now > n.heard + UNSURE;
         let checked = self.cfg.replica_check != ReplicaCheck::None;
         nodes.iter().filter(|_| checked).filter(able).max_by_key(|n| n.position).copied()
     }
@@ -612,16 +606,12 @@
         }
         let mut risky = r.attempts.iter().filter(|a| a.fate != Fate::NotRun).peekable();
         let Some(first) = risky.peek() else { return true };
-        match class.effect {
-            Effect::Idempotent => true,
-            Effect::AtMostOnce => false,
-            // Two ticks are kept so that the window can't close between the decision and the send.
-            Effect::Deduplicated => {
-                self.now + 2 * self.cfg.tick < first.sent + class.window
-                    && (class.scope != RepeatScope::Zone
-                        || risky.all(|a| self.nodes[&a.node].entry.zone == node.entry.zone))
-            }
-        }
+        // Two ticks are kept so that the window can't close between the decision and the send.
+        let within = self.now + 2 * self.cfg.tick < first.sent + class.window;
+        let mut near = risky.map(|a| self.nodes[&a.node].entry.zone == node.entry.zone);
+        let apart = class.effect == Effect::Deduplicated && class.scope == RepeatScope::Zone;
+        class.effect == Effect::Idempotent
+            || (class.effect == Effect::Deduplicated && within && (!apart || near.all(|same| same)))
     }
 
     /// Whether a refusal, which promises that a repeat is harmless, is still true.
@@ -667,7 +657,7 @@
             return;
         }
         let node = &self.nodes[&node_id];
-        let write = self.cfg.classes[r.what.class].access == Access::Write;
+        let write = self.is_write(id);
         let (mean, slowness) = (self.classes[r.what.class].latency, node.slowness(now));
         let patience = ((mean * PATIENCE * slowness.min(2.0)) as Span).max(PATIENCE_LEAST);
         let timeout = if write { left } else { patience.min(left) };
@@ -683,6 +673,7 @@
         }
         self.turn += u64::from(!write);
         r.attempts.push(Attempt { node: node_id.clone(), sent: now, ..Attempt::default() });
+        self.zoning.iter_mut().for_each(|z| z.sent(now, &ask(&self.cfg, r), &node_id));
         actions.push(Action::Send { request: id, node: node_id, timeout });
     }
 
@@ -691,15 +682,18 @@
         &mut self, id: RequestId, attempt: u32, ending: Ending, elapsed: Span, over: bool,
         (note, report): (Standing, Standing), actions: &mut Vec<Action>,
     ) {
-        let Some(r) = self.requests.get_mut(&id) else { return };
-        let Some(a) = r.attempts.get_mut(attempt as usize) else { return };
+        let Some(r) = self.requests.get_mut(&id).filter(|r| r.attempts.len() > attempt as usize) else {
+            return;
+        };
+        let a = &mut r.attempts[attempt as usize];
         let (node_id, class) = (a.node.clone(), r.what.class);
         a.fate = match ending {
             Ending::Overloaded | Ending::Unreachable | Ending::Void | Ending::Missed => Fate::NotRun,
             _ => Fate::MayHaveRun,
         };
         a.missed = ending == Ending::Missed;
-        let (group, session) = (r.what.group, r.what.session.clone());
+        let (group, session, ask) = (r.what.group, r.what.session.clone(), ask(&self.cfg, r));
+        self.zoning.iter_mut().for_each(|z| z.ended(self.now, &ask, &node_id, ending, elapsed));
         if matches!(ending, Ending::Success | Ending::Failure | Ending::Missed | Ending::Overloaded) {
             self.learn(&node_id, report, false, actions);
             self.learn(&node_id, note, true, actions);
@@ -710,7 +704,7 @@
         }
         self.busy.insert(node_id.clone());
         self.attempt_ended(&node_id, (id, attempt), class, write, (ending, elapsed), actions);
-        self.judge(&node_id, (class, group, write), (ending, elapsed), actions);
+        self.judge(&node_id, (class, group, write), (ending, elapsed));
         let remembered = write && ending == Ending::Success && !self.cfg.tokens_carried;
         if let Some(key) = session.filter(|_| remembered) {
             let seen = self.written.entry(key).or_default();
@@ -727,13 +721,12 @@
         if r.open && ending == Ending::Success && (self.now - r.came) as f64 > known.leave {
             known.leaving -= GAIN / 2.0 * known.leaving;
         }
-        if over || ending == Ending::Success {
-            self.close(id);
-        } else if r.open && !r.attempts.iter().any(|a| a.fate == Fate::Out) {
+        let idle = r.open && !r.attempts.iter().any(|a| a.fate == Fate::Out);
+        match over || ending == Ending::Success {
+            true => self.close(id),
             // What follows is decided when all of the batch is known: the client may have left in it.
-            self.waiting.insert(id);
-        } else {
-            self.forget(id);
+            false if idle => drop(self.waiting.insert(id)),
+            false => self.forget(id),
         }
     }
 
@@ -779,9 +772,7 @@
     }
 
     fn unseat(&mut self, group: GroupId, node: &NodeId) {
-        if let Some(g) = self.groups.get_mut(&group) {
-            g.primary.take_if(|(p, _)| p == node);
-        }
+        self.groups.get_mut(&group).and_then(|g| g.primary.take_if(|(p, _)| p == node));
     }
 
     /// The client has gone. Danger: where clients leave long before the time that they name, work for them is
@@ -820,7 +811,9 @@
     fn give_up(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id).filter(|r| r.open && !r.streaming) else { return };
         if self.may_refuse(r) {
-            let advice = self.cfg.retry_after.then_some(self.cfg.max_retry_after / 2);
+            let (most, ask) = (self.cfg.max_retry_after, ask(&self.cfg, r));
+            let wait = self.zoning.as_ref().map_or(most / 2, |z| z.come_back(&ask, most));
+            let advice = self.cfg.retry_after.then_some(wait);
             actions.push(Action::Refuse { request: id, retry_after: advice });
         } else {
             actions.push(Action::Fail { request: id });
@@ -884,6 +877,7 @@
                 self.give_up(id, actions);
             }
         }
+        actions.extend(std::iter::from_fn(|| self.zoning.as_mut()?.news()).map(Action::Log));
         self.arm(actions);
     }
 
@@ -903,8 +897,8 @@
         // What this router uses at the moment may be one node of hundreds, so all in service are the measure.
         // If most look bad the cause is common (a jam, this router's own link), not the nodes.
         let most = (self.in_service as f64 * COMMON_CAUSE).max(1.0);
-        let aside = |id: &&NodeId| self.nodes[*id].suspect && self.nodes[*id].closed.is_none();
-        let mut bad = self.busy.iter().filter(aside).count() as f64;
+        let aside = |n: &Node| n.suspect && n.closed.is_none();
+        let mut bad = self.busy.iter().filter(|id| aside(&self.nodes[*id])).count() as f64;
         let mut silent = Vec::new();
         for id in &self.busy {
             let node = self.nodes.get_mut(id).expect("sent to");
@@ -937,8 +931,8 @@
             let out: Vec<(RequestId, u32)> = self.nodes[&id].out.keys().copied().collect();
             for (request, attempt) in out.into_iter().filter(|_| self.cfg.may_cancel) {
                 // An unsafe request can't be sent again after a cancel, so it stays where it is.
-                let again = |r: &&Request| self.cfg.classes[r.what.class].effect != Effect::AtMostOnce;
-                if self.requests.get(&request).filter(|r| r.open && !r.streaming).filter(again).is_some() {
+                let again = |r: &Request| self.cfg.classes[r.what.class].effect != Effect::AtMostOnce;
+                if self.requests.get(&request).is_some_and(|r| r.open && !r.streaming && again(r)) {
                     actions.push(Action::Cancel { request, attempt });
                 }
             }
@@ -954,6 +948,11 @@
     }
 }
 
+fn ask(cfg: &Settings, r: &Request) -> Ask {
+    let (request, class) = (r.what.id, r.what.class);
+    Ask { request, class, write: cfg.classes[class].access == Access::Write }
+}
+
 impl Gate {
     fn step(&mut self, now: Time, by: f64) {
         let pace = (now.saturating_sub(self.stepped) as f64 / CUT_GAP as f64).min(1.0);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -180,8 +180,6 @@
     pub ask_every: Span,
     /// Whether probes are allowed.
     pub may_probe: bool,
-    /// Whether messages to peers are allowed.
-    pub may_tell_peers: bool,
     /// Whether attempts may be cancelled.
     pub may_cancel: bool,
     /// Whether two attempts of one request may be out at once. None is sent on purpose: a cancelled one may overlap.
@@ -235,7 +233,6 @@
             subscribe: false,
             ask_every: 0,
             may_probe: false,
-            may_tell_peers: false,
             may_cancel: false,
             second_copies: false,
             retry_after: false,
@@ -411,7 +408,7 @@
         /// What it said of itself.
         report: Standing,
     },
-    /// A message from a peer.
+    /// A message from a peer. The module follows none: routers share nothing.
     Peer {
         /// The sender's number.
         from: u32,
@@ -455,13 +452,6 @@
     Wake(Span),
     /// Ask a node for its report.
     Probe(NodeId),
-    /// Send bytes to one peer, or to all.
-    Tell {
-        /// The peer; `None` for all.
-        to: Option<u32>,
-        /// At most 256 bytes.
-        payload: Vec<u8>,
-    },
     /// Close this router's idle connections to a node.
     Close(NodeId),
     /// Subscribe to list changes.
@@ -469,3 +459,40 @@
     /// A line for the log.
     Log(String),
 }
+
+/// What [`Zoning`] is asked about: one request that is to be placed.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask {
+    /// The request.
+    pub request: RequestId,
+    /// Its class, by place in the settings.
+    pub class: usize,
+    /// Whether only the primary takes it.
+    pub write: bool,
+}
+
+/// What a node is to a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Level {
+    /// Its tier of preference: one that is lower and has a node with room goes first.
+    pub tier: u32,
+    /// How much of its weight counts, from above 0 to 2.
+    pub counts: f64,
+}
+
+/// Says which zones a request may use now. It stands beside the module, which asks it of each node before it chooses,
+/// and tells it what it sent and what came of it. Without one, zones matter as little as they do to the nodes' cost.
+pub trait Zoning {
+    /// Discovery said something.
+    fn listed(&mut self, now: Time, update: &ListUpdate);
+    /// What a node is to a request now; none: the request may not go there.
+    fn level(&mut self, now: Time, ask: &Ask, node: &NodeId) -> Option<Level>;
+    /// An attempt was sent.
+    fn sent(&mut self, now: Time, ask: &Ask, node: &NodeId);
+    /// An attempt ended, so long after it was sent.
+    fn ended(&mut self, now: Time, ask: &Ask, node: &NodeId, ending: Ending, elapsed: Span);
+    /// When a request that is refused should come back, `most` from now at the latest.
+    fn come_back(&self, ask: &Ask, most: Span) -> Span;
+    /// A line for the log, while there is one.
+    fn news(&mut self) -> Option<String>;
+}
--- /dev/null
+++ b/tiers/src/allowance.rs
@@ -0,0 +1,89 @@
+//! Budgets of work: how routers that share nothing keep a common limit.
+//!
+//! Each router holds a bucket of *seconds of work*. It fills at the router's part of the limit and every send takes what
+//! the class of the request costs. Where hundreds of routers divide one node, a part is far less than one request a
+//! second: then the first requests must not come at once from all, so buckets begin at different levels.
+
+use plovercove::Time;
+
+/// A bucket of seconds of work.
+#[derive(Clone, Debug, Default)]
+pub struct Allowance {
+    level: f64,
+    rate: f64,
+    filled: Time,
+}
+
+/// A bucket holds what comes in so long, in seconds: longer, and a burst would overshoot a window of one second.
+const DEPTH: f64 = 0.1;
+
+impl Allowance {
+    /// A bucket whose first level is this share of one request's cost.
+    pub fn staggered(now: Time, share: f64, cost: f64) -> Self {
+        Allowance { level: share.clamp(0.0, 1.0) * cost, rate: 0.0, filled: now }
+    }
+
+    /// Brings the level up to date and takes over a new rate, in seconds of work a second. `cost`, the dearest
+    /// request's, is the least that the bucket can hold.
+    pub fn refill(&mut self, now: Time, rate: f64, cost: f64) {
+        let span = now.saturating_sub(self.filled) as f64 / 1e6;
+        // The old rate held until now; with the new one a rise would count backwards.
+        self.level = (self.level + self.rate * span).min((rate * DEPTH).max(cost));
+        (self.rate, self.filled) = (rate, self.filled.max(now));
+    }
+
+    /// Whether a request of this cost may take its part, and leave `reserve` of the depth to what is worth more.
+    pub fn covers(&self, now: Time, cost: f64, reserve: f64) -> bool {
+        let span = now.saturating_sub(self.filled) as f64 / 1e6;
+        self.level + self.rate * span >= cost + reserve * (self.rate * DEPTH - cost).max(0.0)
+    }
+
+    /// Takes a part. The level may go below zero by what was not foreseen, and is then made good.
+    pub fn take(&mut self, now: Time, cost: f64) {
+        let (rate, span) = (self.rate, now.saturating_sub(self.filled) as f64 / 1e6);
+        self.level = (self.level + rate * span).min((rate * DEPTH).max(cost)) - cost;
+        self.filled = self.filled.max(now);
+    }
+
+    /// What fills it, in seconds of work a second.
+    pub fn rate(&self) -> f64 {
+        self.rate
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_bucket_lets_through_its_rate_and_no_more() {
+        let mut bucket = Allowance::default();
+        bucket.refill(0, 2.0, 0.05);
+        let (mut sent, mut now) = (0.0, 0);
+        while now < 10_000_000 {
+            now += 1_000;
+            bucket.refill(now, 2.0, 0.05);
+            while bucket.covers(now, 0.05, 0.0) {
+                bucket.take(now, 0.05);
+                sent += 0.05;
+            }
+        }
+        assert!((19.0..=20.3).contains(&sent), "{sent}");
+    }
+
+    #[test]
+    fn many_thin_buckets_do_not_begin_together() {
+        // Danger: 300 routers whose buckets began full would send a cold node 300 requests in one instant.
+        let mut first = Vec::new();
+        for n in 0..300 {
+            let mut bucket = Allowance::staggered(0, f64::from(n) / 300.0, 0.06);
+            bucket.refill(0, 0.0025, 0.06);
+            let at = (0..40_000_000).step_by(10_000).find(|now| bucket.covers(*now, 0.06, 0.0));
+            first.push(at.expect("it fills"));
+        }
+        for from in (0..24_000_000).step_by(1_000_000) {
+            let inside = first.iter().filter(|at| (from..from + 1_000_000).contains(*at)).count();
+            assert!(inside <= 15, "{inside} first requests in one second");
+        }
+    }
+}
--- /dev/null
+++ b/tiers/src/ramp.rs
@@ -0,0 +1,159 @@
+//! The way back of a zone, and the penalty on one that flaps.
+//!
+//! A zone that was lost gets a small share of its requests at first. The share grows with answers in time, never on the
+//! clock alone, never faster than it may double, and falls back when answers slow. The penalty (RFC 2439: a figure of
+//! merit that each flap raises and that halves in a fixed time) slows the doubling, and above a bound leaves the zone
+//! with trials only until it has faded to another.
+
+use crate::rules::{FlapRules, RampRules, ms};
+use plovercove::{Span, Time};
+
+/// The penalty on one zone.
+#[derive(Clone, Debug, Default)]
+pub struct Flap {
+    penalty: f64,
+    at: Time,
+    suppressed: bool,
+}
+
+impl Flap {
+    /// What is left of it.
+    pub fn penalty(&self, now: Time, rules: &FlapRules) -> f64 {
+        let halves = now.saturating_sub(self.at) as f64 / ms(rules.half_life_ms) as f64;
+        self.penalty * (-halves).exp2()
+    }
+
+    /// The zone was lost once more.
+    pub fn lost(&mut self, now: Time, rules: &FlapRules) {
+        self.penalty = (self.penalty(now, rules) + rules.each).min(rules.most);
+        self.at = now;
+        self.suppressed |= self.penalty >= rules.suppress;
+    }
+
+    /// Whether it gets trials only.
+    pub fn suppressed(&mut self, now: Time, rules: &FlapRules) -> bool {
+        self.suppressed &= self.penalty(now, rules) >= rules.reuse;
+        self.suppressed
+    }
+}
+
+/// The share of its requests that a zone gets.
+#[derive(Clone, Debug)]
+pub struct Ramp {
+    share: f64,
+    /// Until then it does not double again, and before then it does not fall again.
+    step_at: Time,
+    fell_at: Time,
+    good: u32,
+}
+
+/// Falls follow each other no faster: answers that are slow together are one piece of news.
+const FALL_GAP: Span = 300_000;
+
+impl Default for Ramp {
+    fn default() -> Self {
+        Ramp { share: 1.0, step_at: 0, fell_at: 0, good: 0 }
+    }
+}
+
+impl Ramp {
+    /// The share, from above 0 to 1.
+    pub fn share(&self) -> f64 {
+        self.share
+    }
+
+    /// Whether it has been gone to its end.
+    pub fn done(&self) -> bool {
+        self.share >= 1.0
+    }
+
+    /// Begins anew. One that was under way goes on from where it was if that is lower.
+    pub fn begin(&mut self, now: Time, share: f64) {
+        self.share = self.share.min(share);
+        (self.good, self.step_at, self.fell_at) = (0, now, now);
+    }
+
+    /// An answer in time has come. `slowed` is how many times as long a doubling takes.
+    pub fn good(&mut self, now: Time, rules: &RampRules, slowed: f64) {
+        if self.done() {
+            return;
+        }
+        self.good += 1;
+        let span = (ms(rules.double_ms) as f64 * slowed) as Span;
+        if self.good >= rules.answers && now >= self.step_at + span {
+            self.share = (self.share * 2.0).min(1.0);
+            (self.good, self.step_at) = (0, now);
+        }
+    }
+
+    /// An answer was slow, or did not come.
+    pub fn slow(&mut self, now: Time, rules: &RampRules) {
+        if self.done() || now < self.fell_at + FALL_GAP {
+            return;
+        }
+        self.share = (self.share * rules.back).max(rules.start / 4.0);
+        (self.good, self.step_at, self.fell_at) = (0, now, now);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SECOND: Time = 1_000_000;
+
+    #[test]
+    fn a_ramp_rises_on_answers_and_never_on_the_clock_alone() {
+        let rules = RampRules::default();
+        let mut ramp = Ramp::default();
+        ramp.begin(0, rules.start);
+        for second in 1..1_000 {
+            assert_eq!(ramp.share(), rules.start, "after {second} s without an answer");
+        }
+        let mut now = 0;
+        while !ramp.done() {
+            now += 10_000;
+            ramp.good(now, &rules, 1.0);
+            assert!(now < 10 * SECOND);
+        }
+        // Four doublings from 0.1: no burst of answers shortens them.
+        assert!(now >= 4 * 700_000, "{now}");
+    }
+
+    #[test]
+    fn a_ramp_falls_back_when_answers_slow_and_one_jam_counts_once() {
+        let rules = RampRules::default();
+        let mut ramp = Ramp::default();
+        ramp.begin(0, 0.8);
+        for _ in 0..50 {
+            ramp.slow(SECOND, &rules);
+        }
+        assert!((ramp.share() - 0.8 * rules.back).abs() < 1e-9);
+        for n in 0..100 {
+            ramp.slow(SECOND * (2 + n), &rules);
+        }
+        assert!(ramp.share() >= rules.start / 4.0, "it never closes: a closed ramp would see no answer");
+    }
+
+    #[test]
+    fn a_zone_that_flaps_is_suppressed_and_comes_back() {
+        let rules = FlapRules::default();
+        let mut flap = Flap::default();
+        for n in 0..2 {
+            flap.lost(n * 4 * SECOND, &rules);
+            assert!(!flap.suppressed(n * 4 * SECOND, &rules), "two losses are no flapping");
+        }
+        for n in 2..8 {
+            flap.lost(n * 4 * SECOND, &rules);
+        }
+        let last = 28 * SECOND;
+        assert!(flap.suppressed(last, &rules));
+        let back = (0..200).find(|s| !flap.suppressed(last + s * SECOND, &rules)).expect("it fades");
+        assert!((8..=16).contains(&back), "{back} s");
+        let mut slow = Flap::default();
+        for n in 0..20 {
+            slow.lost(n * 60 * SECOND, &rules);
+            assert!(!slow.suppressed(n * 60 * SECOND, &rules), "a loss a minute is no flapping");
+        }
+    }
+}
