Add the fleet model, bounded scripts and plovercove-lab; the module weighs zones by preference

Reason: limits and ramps cannot be judged on sockets at 300 routers and 1,000 nodes, nor against baselines by eye.

--- /dev/null
+++ b/fleet/src/node.rs
@@ -0,0 +1,182 @@
+//! A db node: cores, a queue, warmth, and what pushes it over. It is told the time and keeps none of its own.
+
+use crate::spec::NodeSpec;
+use plovercove::Time;
+use std::collections::VecDeque;
+
+/// What became of a request that was offered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Offer {
+    /// It runs and will be done then.
+    Runs(Time),
+    /// It waits.
+    Waits,
+    /// It was turned away unseen.
+    Full,
+    /// It was one too many: the node falls over and stays down.
+    Falls,
+}
+
+/// A db node's machine.
+#[derive(Clone, Debug)]
+pub struct Machine<J> {
+    spec: NodeSpec,
+    speed: f64,
+    /// So many times slower than usual, 1 for not.
+    slowed: f64,
+    started: Option<Time>,
+    running: u32,
+    queue: VecDeque<(J, f64)>,
+    /// Work offered of late while cold, with its sum (s).
+    offered: VecDeque<(Time, f64)>,
+    sum: f64,
+    fallen: bool,
+}
+
+impl<J> Machine<J> {
+    /// A warm node of this speed.
+    pub fn new(spec: NodeSpec, speed: f64) -> Self {
+        Machine {
+            spec,
+            speed,
+            slowed: 1.0,
+            started: None,
+            running: 0,
+            queue: VecDeque::new(),
+            offered: VecDeque::new(),
+            sum: 0.0,
+            fallen: false,
+        }
+    }
+
+    /// Its process starts anew, cold. What it held is lost.
+    pub fn restart(&mut self, now: Time) {
+        self.started = Some(now);
+        self.running = 0;
+        self.queue.clear();
+        self.offered.clear();
+        self.sum = 0.0;
+    }
+
+    /// Its process is gone. Returns what waited; what ran is lost with it.
+    pub fn stop(&mut self) -> impl Iterator<Item = J> + use<J> {
+        self.running = 0;
+        std::mem::take(&mut self.queue).into_iter().map(|(job, _)| job)
+    }
+
+    /// It runs so many times slower from now on.
+    pub fn slow(&mut self, times: f64) {
+        self.slowed = times.max(0.01);
+    }
+
+    /// When it started, if it is not warm for long.
+    pub fn started(&self) -> Option<Time> {
+        self.started
+    }
+
+    /// Whether it fell over.
+    pub fn fallen(&self) -> bool {
+        self.fallen
+    }
+
+    /// Requests that it holds.
+    pub fn held(&self) -> usize {
+        self.running as usize + self.queue.len()
+    }
+
+    /// The share of its cores that work.
+    pub fn busy(&self) -> f64 {
+        f64::from(self.running) / f64::from(self.spec.cores)
+    }
+
+    /// The share of its capacity that it has now.
+    pub fn warmth(&self, now: Time) -> f64 {
+        let Some(started) = self.started else { return 1.0 };
+        let age = now.saturating_sub(started) as f64 / 1e6 / self.spec.cold_s;
+        (self.spec.cold_from + (1.0 - self.spec.cold_from) * age).min(1.0)
+    }
+
+    /// Seconds of work that it does in a second now.
+    pub fn capacity(&self, now: Time) -> f64 {
+        f64::from(self.spec.cores) * self.speed * self.warmth(now) / self.slowed
+    }
+
+    fn lasts(&self, work: f64, now: Time) -> Time {
+        let over = self.held() as f64 / f64::from(self.spec.cores) - self.spec.thrash_at;
+        let drag = 1.0 + over.max(0.0) * self.spec.thrash;
+        let rate = self.speed * self.warmth(now) / self.slowed / drag;
+        ((work / rate) * 1e6).max(1.0) as Time
+    }
+
+    /// Offers a request of so many seconds of work.
+    pub fn offer(&mut self, now: Time, job: J, work: f64) -> Offer {
+        if self.presses(now, work) {
+            self.fallen = true;
+            return Offer::Falls;
+        }
+        if self.running < self.spec.cores {
+            self.running += 1;
+            Offer::Runs(now + self.lasts(work, now))
+        } else if self.queue.len() < self.spec.queue as usize {
+            self.queue.push_back((job, work));
+            Offer::Waits
+        } else {
+            Offer::Full
+        }
+    }
+
+    /// Whether this is more than a cold node bears. All that reaches it counts, also what it turns away.
+    fn presses(&mut self, now: Time, work: f64) -> bool {
+        let warmth = self.warmth(now);
+        if warmth >= 1.0 {
+            return false;
+        }
+        let window = (self.spec.fall_s * 1e6) as Time;
+        while self.offered.front().is_some_and(|(at, _)| at + window < now) {
+            self.sum -= self.offered.pop_front().map_or(0.0, |(_, work)| work);
+        }
+        self.offered.push_back((now, work));
+        self.sum += work;
+        let bears = self.spec.fall_factor * self.capacity(now) * self.spec.fall_s;
+        // A little slack for chance: three requests.
+        self.sum > bears + 3.0 * work
+    }
+
+    /// A request is done. Returns the next and when that will be done, which the caller may turn away in turn.
+    pub fn done(&mut self, now: Time) -> Option<(J, Time)> {
+        self.running = self.running.saturating_sub(1);
+        let (job, work) = self.queue.pop_front()?;
+        self.running += 1;
+        Some((job, now + self.lasts(work, now)))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_node_runs_queues_and_turns_away() {
+        let spec = NodeSpec { cores: 2, queue: 1, ..NodeSpec::default() };
+        let mut node = Machine::new(spec, 1.0);
+        assert_eq!(node.offer(0, 1, 0.05), Offer::Runs(50_000));
+        assert_eq!(node.offer(0, 2, 0.05), Offer::Runs(50_000));
+        assert_eq!((node.offer(0, 3, 0.05), node.offer(0, 4, 0.05)), (Offer::Waits, Offer::Full));
+        assert_eq!(node.done(50_000), Some((3, 100_000)));
+        assert_eq!((node.done(100_000), node.held()), (None, 1));
+    }
+
+    #[test]
+    fn a_cold_node_is_slow_and_falls_when_pushed() {
+        let spec = NodeSpec { cores: 1, cold_from: 0.2, cold_s: 10.0, ..NodeSpec::default() };
+        let mut node = Machine::new(spec, 1.0);
+        node.restart(0);
+        assert_eq!(node.offer(0, 0, 0.1), Offer::Runs(500_000));
+        assert!((node.warmth(5_000_000) - 0.6).abs() < 1e-9);
+        // It bears 4 x 0.2 x 2 s of work and a little more.
+        let fell = (1..100).find(|n| node.offer(u64::from(*n as u8), *n, 0.1) == Offer::Falls);
+        assert!(fell.is_some_and(|n| (17..=20).contains(&n)), "{fell:?}");
+        let mut warm = Machine::new(NodeSpec::default(), 1.0);
+        assert!((0..500).all(|n| warm.offer(0, n, 0.1) != Offer::Falls), "a warm node only queues");
+    }
+}
--- /dev/null
+++ b/lab/src/main.rs
@@ -0,0 +1,108 @@
+//! `plovercove-lab`: tries designs and faults on a model of the fleet that drives plovercove's own decisions.
+
+mod experiment;
+mod table;
+
+use clap::{Parser, Subcommand};
+use experiment::{Experiment, Outcome};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Experiments on plovercove: load, faults and designs, on a model that drives the router's own decisions.
+#[derive(Parser)]
+#[command(name = "plovercove-lab", version)]
+struct Line {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Play an experiment in virtual time, and print a table.
+    Run {
+        /// The script that describes it.
+        file: PathBuf,
+        /// The seed; with more than one seed, the first.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Seeds from A up to B, as A..B.
+        #[arg(long, value_parser = seeds, conflicts_with = "seed")]
+        seeds: Option<(u64, u64)>,
+        /// Another value for a setting of the script: clients.load=0.7. More than one may be given.
+        #[arg(long, value_name = "KEY=VALUE")]
+        set: Vec<String>,
+        /// Only this case; more than one may be given.
+        #[arg(long)]
+        case: Vec<String>,
+        /// Write all reports as JSON.
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+        /// Print what happened second by second.
+        #[arg(long)]
+        seconds: bool,
+        /// End with an error where a rule was broken or a node fell.
+        #[arg(long)]
+        strict: bool,
+    },
+    /// Check a script, and print its cases.
+    Check {
+        /// The script.
+        file: PathBuf,
+    },
+}
+
+fn seeds(text: &str) -> Result<(u64, u64), String> {
+    let parts = text.split_once("..").ok_or("expected A..B")?;
+    let number = |part: &str| part.parse::<u64>().map_err(|e| format!("{part:?}: {e}"));
+    let (from, to) = (number(parts.0)?, number(parts.1)?);
+    if from > to || to - from >= 100_000 {
+        return Err("expected A..B with A up to B, and no more than 100000 seeds".into());
+    }
+    Ok((from, to))
+}
+
+fn main() -> ExitCode {
+    match play(Line::parse().command) {
+        Ok(code) => code,
+        Err(why) => {
+            eprintln!("plovercove-lab: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn play(command: Command) -> Result<ExitCode, String> {
+    match command {
+        Command::Check { file } => {
+            let experiment = Experiment::read(&file, &[])?;
+            println!("{}: {} cases", experiment.name, experiment.cases.len());
+            for (name, spec) in &experiment.cases {
+                let nodes: usize = spec.zones.iter().map(|z| z.nodes).sum();
+                let routers: usize = spec.zones.iter().map(|z| z.routers).sum();
+                println!("  {name}: {nodes} nodes, {routers} routers, {} s", spec.seconds);
+            }
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Run { file, seed, seeds, set, case, json, seconds, strict } => {
+            let mut experiment = Experiment::read(&file, &set)?;
+            if let Some(unknown) = case.iter().find(|c| !experiment.cases.iter().any(|(name, _)| name == *c))
+            {
+                return Err(format!("{}: there is no case {unknown:?}", file.display()));
+            }
+            experiment.cases.retain(|(name, _)| case.is_empty() || case.contains(name));
+            let (from, to) = seeds.unwrap_or((seed, seed));
+            let outcomes = experiment.play(from..=to)?;
+            print!("{}", table::summary(&experiment, &outcomes));
+            if seconds {
+                print!("{}", table::seconds(&outcomes));
+            }
+            if let Some(path) = json {
+                let text = serde_json::to_string_pretty(&outcomes).map_err(|e| e.to_string())?;
+                std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))?;
+            }
+            let broken = |o: &Outcome| !o.report.breaches.is_empty();
+            let failed = strict && outcomes.iter().any(broken);
+            Ok(if failed { ExitCode::FAILURE } else { ExitCode::SUCCESS })
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/table.rs
@@ -0,0 +1,154 @@
+//! What people read: a table in Markdown.
+
+use crate::experiment::{Experiment, Outcome};
+use plovercove_fleet::{Report, Variant};
+use std::fmt::Write as _;
+
+/// The runs of one case and variant.
+fn of<'a>(outcomes: &'a [Outcome], case: &str, variant: Variant) -> Vec<&'a Report> {
+    let mine = |o: &&Outcome| o.case == case && o.report.variant == variant;
+    outcomes.iter().filter(mine).map(|o| &o.report).collect()
+}
+
+fn mean(values: impl Iterator<Item = f64>) -> f64 {
+    let (sum, count) = values.fold((0.0, 0.0), |(sum, count), v| (sum + v, count + 1.0));
+    if count > 0.0 { sum / count } else { f64::NAN }
+}
+
+/// Median and longest of times that may never have come: `4/9 s`, with the share of runs that came back where not all.
+fn times(values: &[Option<f64>]) -> String {
+    let mut came: Vec<f64> = values.iter().copied().flatten().collect();
+    if came.is_empty() {
+        return "-".into();
+    }
+    came.sort_by(f64::total_cmp);
+    let text = format!("{:.0}/{:.0}", came[came.len() / 2], came[came.len() - 1]);
+    if came.len() == values.len() { text } else { format!("{text} ({} of {})", came.len(), values.len()) }
+}
+
+fn name(variant: Variant) -> &'static str {
+    match variant {
+        Variant::Tiers => "tiers",
+        Variant::Flat => "flat",
+        Variant::Strict => "strict",
+    }
+}
+
+/// The table, and below it what was broken.
+pub fn summary(experiment: &Experiment, outcomes: &[Outcome]) -> String {
+    let mut out = String::new();
+    let _ = writeln!(
+        out,
+        "| case | variant | worth in time: whole | loss and return, mean | worst | local | spill, most | fallen | back after loss (s, median/longest) | after return | p99 (ms) | rules broken |"
+    );
+    let _ = writeln!(out, "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    for (case, _) in &experiment.cases {
+        for variant in &experiment.variants {
+            let runs = of(outcomes, case, *variant);
+            let worst = runs.iter().map(|r| r.window).fold(f64::INFINITY, f64::min);
+            let spill = runs.iter().map(|r| r.spill_most).fold(0.0, f64::max);
+            let broken: u64 = runs.iter().flat_map(|r| &r.breaches).map(|b| b.times).sum();
+            let _ = writeln!(
+                out,
+                "| {case} | {} | {:.3} | {:.3} | {:.3} | {:.3} | {:.3} | {} | {} | {} | {:.0} | {} |",
+                name(*variant),
+                mean(runs.iter().map(|r| r.in_time)),
+                mean(runs.iter().map(|r| r.window)),
+                worst,
+                mean(runs.iter().map(|r| r.local)),
+                spill,
+                runs.iter().map(|r| r.fallen).sum::<u32>(),
+                times(&runs.iter().map(|r| r.after_loss).collect::<Vec<_>>()),
+                times(&runs.iter().map(|r| r.after_return).collect::<Vec<_>>()),
+                mean(runs.iter().map(|r| r.p99_ms)),
+                broken,
+            );
+        }
+    }
+    let _ = writeln!(out);
+    against(&mut out, experiment, outcomes);
+    for o in outcomes {
+        for b in &o.report.breaches {
+            let (at, what) = &b.first;
+            let _ = writeln!(
+                out,
+                "{} {} seed {}: {:?} broken {} times, first at {at:.2} s: {what}",
+                o.case,
+                name(o.report.variant),
+                o.report.seed,
+                b.rule,
+                b.times
+            );
+        }
+    }
+    let (wall, asked): (f64, u64) =
+        outcomes.iter().fold((0.0, 0), |sum, o| (sum.0 + o.wall, sum.1 + o.report.requests));
+    let events: u64 = outcomes.iter().map(|o| o.report.events).sum();
+    let _ = writeln!(
+        out,
+        "{} runs, {asked} requests, {events} events; {:.0} requests a second of one core's time",
+        outcomes.len(),
+        asked as f64 / wall.max(1e-9)
+    );
+    out
+}
+
+/// Tiers against the better of the baselines, seed by seed.
+fn against(out: &mut String, experiment: &Experiment, outcomes: &[Outcome]) {
+    let others: Vec<Variant> = experiment.variants.iter().copied().filter(|v| *v != Variant::Tiers).collect();
+    if others.is_empty() || !experiment.variants.contains(&Variant::Tiers) {
+        return;
+    }
+    let _ = writeln!(out, "Tiers against the better baseline, in loss and return (paired by seed):\n");
+    for (case, _) in &experiment.cases {
+        let tiers = of(outcomes, case, Variant::Tiers);
+        let means = others.iter().map(|v| mean(of(outcomes, case, *v).iter().map(|r| r.window)));
+        let best = means.fold(f64::NEG_INFINITY, f64::max);
+        let gap = |r: &&Report| {
+            let same = |v: &Variant| {
+                of(outcomes, case, *v)
+                    .iter()
+                    .find(|o| o.seed == r.seed)
+                    .map_or(f64::NEG_INFINITY, |o| o.window)
+            };
+            r.window - others.iter().map(same).fold(f64::NEG_INFINITY, f64::max)
+        };
+        let gaps: Vec<f64> = tiers.iter().map(gap).collect();
+        let by = mean(tiers.iter().map(|r| r.window)) - best;
+        // The mean of the paired gaps is known within about this.
+        let average = mean(gaps.iter().copied());
+        let spread =
+            (mean(gaps.iter().map(|g| (g - average).powi(2))) / gaps.len().max(2) as f64).sqrt() * 2.0;
+        let word = if by.abs() < spread {
+            "within noise"
+        } else if by > 0.0 {
+            "better"
+        } else {
+            "worse"
+        };
+        let _ = writeln!(
+            out,
+            "- {case}: {by:+.3} against the better mean ({word}, +/- {spread:.3}); on the worst seed {:+.3} against the better of that seed",
+            gaps.iter().copied().fold(f64::INFINITY, f64::min)
+        );
+    }
+    let _ = writeln!(out);
+}
+
+/// Second by second, means over the seeds of a case and variant.
+pub fn seconds(outcomes: &[Outcome]) -> String {
+    let mut out = String::new();
+    for o in outcomes {
+        let _ = writeln!(out, "\n{} {} seed {}", o.case, name(o.report.variant), o.report.seed);
+        let _ = writeln!(out, "second  in time  refused  failed  capacity by zone, spilled there (% of it)");
+        for (n, s) in o.report.seconds.iter().enumerate().filter(|(_, s)| s.asked > 0.0) {
+            let _ = write!(out, "{n:6}  {:7.3}  {:7}  {:6} ", s.in_time / s.asked, s.refused, s.failed);
+            for (capacity, spilled) in s.capacity.iter().zip(&s.spilled) {
+                let share = if *capacity > 0.0 { spilled / capacity * 100.0 } else { 0.0 };
+                let _ = write!(out, "  {capacity:5.0} {share:3.0}%");
+            }
+            let _ = writeln!(out);
+        }
+    }
+    out
+}
--- /dev/null
+++ b/script/src/lib.rs
@@ -0,0 +1,258 @@
+//! Starlark scripts as files of settings. A script is evaluated once; its global variables are the settings, but for
+//! functions and for names that begin with an underscore. It can read nothing and do nothing, and its steps, memory and
+//! depth are bounded, so that a mistake ends with a message and not with a router that hangs.
+
+use serde::de::DeserializeOwned;
+use serde_json::{Map, Value};
+use starlark::codemap::FileSpanRef;
+use starlark::environment::{Globals, Module};
+use starlark::eval::{BeforeStmtFunc, Evaluator};
+use starlark::syntax::{AstModule, Dialect};
+use std::fmt;
+use std::panic::{self, AssertUnwindSafe};
+use std::path::Path;
+
+/// Steps that a script may take.
+const STEPS: u64 = 1_000_000;
+/// Bytes that its values may hold.
+const MEMORY: usize = 64 * 1024 * 1024;
+/// Calls within calls.
+const DEPTH: usize = 64;
+/// A script is no longer than this.
+const LONGEST: u64 = 1024 * 1024;
+
+/// The script holds more than it may.
+struct TooMuch;
+
+/// What is wrong with a script, and where.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// The file.
+    pub file: String,
+    /// The line, from 1; none where the whole file is meant.
+    pub line: Option<usize>,
+    /// The path of the key at fault; empty where the script itself is wrong.
+    pub key: String,
+    /// What is wrong.
+    pub why: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(to, "{}", self.file)?;
+        if let Some(line) = self.line {
+            write!(to, ":{line}")?;
+        }
+        if !self.key.is_empty() {
+            write!(to, ": {}", self.key)?;
+        }
+        write!(to, ": {}", self.why)
+    }
+}
+
+impl std::error::Error for Fault {}
+
+/// A script that has been evaluated.
+#[derive(Clone, Debug)]
+pub struct Script {
+    file: String,
+    text: String,
+    /// Its settings.
+    pub values: Map<String, Value>,
+}
+
+impl Script {
+    /// Reads and evaluates a file.
+    ///
+    /// # Errors
+    /// Names the file, the line where there is one, and what is wrong.
+    pub fn read(path: &Path) -> Result<Self, Fault> {
+        let file = path.display().to_string();
+        let fault = |why: String| Fault { file: file.clone(), line: None, key: String::new(), why };
+        let length = std::fs::metadata(path).map_err(|e| fault(format!("cannot be read: {e}")))?.len();
+        if length > LONGEST {
+            return Err(fault(format!("is longer than {LONGEST} bytes")));
+        }
+        let text = std::fs::read_to_string(path).map_err(|e| fault(format!("cannot be read: {e}")))?;
+        Self::evaluate(&file, &text)
+    }
+
+    /// Evaluates a script; `file` is what it is called in messages.
+    ///
+    /// # Errors
+    /// As [`Script::read`].
+    pub fn evaluate(file: &str, text: &str) -> Result<Self, Fault> {
+        let fault = |e: starlark::Error| Fault {
+            file: file.to_string(),
+            line: e.span().map(|span| span.resolve_span().begin.line + 1),
+            key: String::new(),
+            why: e.without_diagnostic().to_string().trim().to_string(),
+        };
+        let broken = |why: String| Fault { file: file.to_string(), line: None, key: String::new(), why };
+        let ast = AstModule::parse(file, text.to_string(), &Dialect::Standard).map_err(fault)?;
+        let globals = Globals::standard();
+        Module::with_temp_heap(|module| {
+            {
+                let watch = |_: FileSpanRef<'_>, _: bool, evaluator: &mut Evaluator<'_, '_, '_>| {
+                    if evaluator.heap().allocated_bytes() > MEMORY {
+                        panic::resume_unwind(Box::new(TooMuch));
+                    }
+                };
+                let mut evaluator = Evaluator::new(&module);
+                // The evaluator looks at its memory every thousand steps; a value that doubles needs thirty.
+                evaluator.before_stmt_for_dap(BeforeStmtFunc::Fn(&watch));
+                let bounded = evaluator
+                    .set_max_callstack_size(DEPTH)
+                    .and_then(|()| evaluator.set_max_heap_size(MEMORY))
+                    .and_then(|()| evaluator.set_max_tick_count(STEPS));
+                bounded.map_err(|e| broken(e.to_string()))?;
+                let ended =
+                    panic::catch_unwind(AssertUnwindSafe(|| evaluator.eval_module(ast, &globals).map(drop)));
+                match ended {
+                    Ok(result) => result.map_err(fault)?,
+                    Err(cause) if cause.is::<TooMuch>() => {
+                        return Err(broken(format!("holds more than the limit of {MEMORY} bytes")));
+                    }
+                    Err(_) => {
+                        return Err(broken("cannot be evaluated: a value is beyond every limit".into()));
+                    }
+                }
+            }
+            let mut values = Map::new();
+            for name in module.names() {
+                let name = name.as_str();
+                let Some(value) = module.get(name).filter(|v| v.get_type() != "function") else { continue };
+                if name.starts_with('_') {
+                    continue;
+                }
+                let json = value.to_json_value().map_err(|e| Fault {
+                    line: line_of(text, name),
+                    key: name.to_string(),
+                    ..broken(e.to_string())
+                })?;
+                values.insert(name.to_string(), json);
+            }
+            Ok(Script { file: file.to_string(), text: text.to_string(), values })
+        })
+    }
+
+    /// The settings as a type.
+    ///
+    /// # Errors
+    /// Names the line and the key at fault.
+    pub fn typed<T: DeserializeOwned>(&self) -> Result<T, Fault> {
+        self.typed_from(Value::Object(self.values.clone()), "")
+    }
+
+    /// A value that came of this script as a type; `within` is the key that it stood under.
+    ///
+    /// # Errors
+    /// As [`Script::typed`].
+    pub fn typed_from<T: DeserializeOwned>(&self, value: Value, within: &str) -> Result<T, Fault> {
+        serde_path_to_error::deserialize(value).map_err(|e| {
+            let path = e.path().to_string();
+            let why = e.into_inner().to_string();
+            // An unknown key is named by the message and not by the path.
+            let unknown = why.strip_prefix("unknown field `").and_then(|rest| rest.split('`').next());
+            let path = match (path.as_str(), unknown) {
+                (".", None) => String::new(),
+                (".", Some(name)) => name.to_string(),
+                (path, Some(name)) if !path.ends_with(name) => format!("{path}.{name}"),
+                (path, _) => path.to_string(),
+            };
+            let key = if within.is_empty() { path } else { format!("{within}.{path}") };
+            self.fault(key.trim_end_matches('.'), why)
+        })
+    }
+
+    /// A complaint about a key of this script, with its line.
+    pub fn fault(&self, key: &str, why: impl Into<String>) -> Fault {
+        Fault {
+            file: self.file.clone(),
+            line: line_of(&self.text, key),
+            key: key.to_string(),
+            why: why.into(),
+        }
+    }
+}
+
+/// The line on which a key stands: that of its variable, and within it of the first mention of each further part.
+fn line_of(text: &str, key: &str) -> Option<usize> {
+    let mut parts = key.split(['.', '[', ']']).filter(|p| !p.is_empty() && p.parse::<usize>().is_err());
+    let first = parts.next()?;
+    let lines: Vec<&str> = text.lines().collect();
+    let assigns =
+        |line: &&str| line.strip_prefix(first).is_some_and(|rest| rest.trim_start().starts_with('='));
+    let mut at = lines.iter().position(assigns)?;
+    for part in parts {
+        let quoted = format!("\"{part}\"");
+        let named = format!("{part} =");
+        let close = format!("{part}=");
+        let found =
+            lines[at..].iter().position(|l| l.contains(&quoted) || l.contains(&named) || l.contains(&close));
+        at += found.unwrap_or(0);
+    }
+    Some(at + 1)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde::Deserialize;
+
+    #[derive(Debug, Deserialize)]
+    #[serde(deny_unknown_fields)]
+    struct Want {
+        spill: f64,
+        #[serde(default)]
+        zones: Vec<Zone>,
+    }
+
+    #[derive(Debug, Deserialize)]
+    #[serde(deny_unknown_fields)]
+    struct Zone {
+        name: String,
+        routers: u32,
+    }
+
+    fn complaint(text: &str) -> String {
+        let script = Script::evaluate("ops.star", text);
+        script.and_then(|s| s.typed::<Want>()).expect_err("it is wrong").to_string()
+    }
+
+    #[test]
+    fn variables_are_settings_and_functions_and_private_names_are_not() {
+        let text = "def _zone(n):\n    return {\"name\": n, \"routers\": 3}\n_all = [\"a\", \"b\"]\nspill = 0.1 + 0.2\nzones = [_zone(n) for n in _all]\n";
+        let script = Script::evaluate("ops.star", text).unwrap_or_else(|e| panic!("{e}"));
+        let want: Want = script.typed().unwrap_or_else(|e| panic!("{e}"));
+        assert!((want.spill - 0.3).abs() < 1e-9);
+        assert_eq!((want.zones[1].name.as_str(), want.zones[1].routers), ("b", 3));
+    }
+
+    #[test]
+    fn mistakes_are_named_with_file_line_and_key() {
+        let wrong_type = "spill = 0.3\nzones = [\n  {\"name\": \"a\", \"routers\": 1},\n  {\"name\": \"b\",\n   \"routers\": \"many\"},\n]\n";
+        let said = complaint(wrong_type);
+        assert!(said.starts_with("ops.star:") && said.contains("zones[1].routers"), "{said}");
+        assert!(complaint("spill = 0.3\nspil = 1\n").starts_with("ops.star:2: spil: unknown field"));
+        let said = complaint("spill = 0.3\n\nx = 1 +\n");
+        assert!(said.starts_with("ops.star:3"), "{said}");
+        let said = complaint("spill = nothing\n");
+        assert!(said.starts_with("ops.star:1") && said.contains("nothing"), "{said}");
+    }
+
+    #[test]
+    fn a_script_that_does_not_end_or_grows_without_bound_is_ended() {
+        // Danger: a router whose settings loop would never begin to listen.
+        let said = complaint(
+            "def f():\n    for a in range(100000):\n        for b in range(100000):\n            pass\nf()\nspill = 0.3\n",
+        );
+        assert!(said.contains("tick") || said.contains("step") || said.contains("imit"), "{said}");
+        let said = complaint(
+            "def f():\n    x = [0]\n    for a in range(60):\n        x = x + x\n    return x\n_y = f()\nspill = 0.3\n",
+        );
+        assert!(said.contains("heap") || said.contains("emory") || said.contains("imit"), "{said}");
+        let said = complaint("def f(n):\n    return f(n + 1)\nspill = f(0)\n");
+        assert!(!said.is_empty());
+    }
+}
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -117,8 +117,8 @@
     full_until: Time,
     probed: Time, // when it was last probed, and when a probe of it last ended
     told: Time,
-    linked: bool,         // a connection to it is open, as far as this router can tell
-    level: Option<Level>, // what it is to the request that is being placed
+    linked: bool,        // a connection to it is open, as far as this router can tell
+    counts: Option<f64>, // how much of its weight counts for the request that is being placed
 }
 
 #[derive(Default)]
@@ -371,7 +371,7 @@
     /// W: list weight, observed relative speed and the warm share.
     fn weight(&self, node: &Node) -> f64 {
         let listed = if self.cfg.weights == WeightMeaning::None { 1.0 } else { node.entry.weight.max(0.01) };
-        listed / node.slowness(self.now) * self.warm_share(node) * node.level.map_or(1.0, |l| l.counts)
+        listed / node.slowness(self.now) * self.warm_share(node) * node.counts.unwrap_or(1.0)
     }
 
     fn warm_share(&self, node: &Node) -> f64 {
@@ -391,7 +391,9 @@
         let open = !self.thin || r.luck <= node.gate.level.min(pool).min(0.0) * self.mean_worth / worth;
         let warm = self.warm_share(node);
         // Danger: a cold node's refusals were sent to it over and over, which counts towards pushing it over.
-        open && (warm >= 1.0 || (r.at(node).next().is_none() && r.luck <= (warm * COLD_USE).ln()))
+        // Where zones count, each cold node has an allowance of its own.
+        let lucky = self.zoning.is_some() || r.luck <= (warm * COLD_USE).ln();
+        open && (warm >= 1.0 || (r.at(node).next().is_none() && lucky))
     }
 
     /// Whether a node may get an attempt now, whatever its data.
@@ -440,14 +442,14 @@
         node.filter(|_| !hold)
     }
 
-    /// Asks what each member is to a request now; true where some are shut to it.
+    /// Asks how much each member counts for a request; true where all are shut to it, and no room can come up.
     fn consult(&mut self, id: RequestId) -> bool {
         let (r, Some(zoning)) = (&self.requests[&id], &mut self.zoning) else { return false };
-        let (ask, mut shut) = (ask(&self.cfg, r), false);
+        let (ask, mut shut) = (ask(&self.cfg, r), true);
         for member in self.groups.get(&r.what.group).iter().flat_map(|g| &g.members) {
             let node = self.nodes.get_mut(member).expect("listed");
-            node.level = zoning.level(self.now, &ask, member);
-            shut |= node.level.is_none();
+            node.counts = zoning.counts(self.now, &ask, member);
+            shut &= node.counts.is_none() || node.closed.is_some();
         }
         shut
     }
@@ -482,7 +484,7 @@
         let Some(group) = self.groups.get(&r.what.group) else { return Default::default() };
         let primary = group.primary.as_ref().map(|(id, _)| id);
         let access = self.cfg.classes[r.what.class].access;
-        let may = |n: &&Node| (self.zoning.is_none() || n.level.is_some()) && self.may_send(r, n);
+        let may = |n: &&Node| (self.zoning.is_none() || n.counts.is_some()) && self.may_send(r, n);
         let members = group.members.iter().filter_map(|m| self.nodes.get(m)).filter(may);
         let (all, kept): (Vec<&Node>, Vec<&Node>) = members.partition(|n| self.admitted(r, n));
         let wanted = |n: &&Node| (Some(&n.entry.node) == primary) == (access == Access::Write);
@@ -495,29 +497,12 @@
             _ => {
                 let other = |n: &&Node| Some(&n.entry.node) != primary && !r.at(n).any(|a| a.missed);
                 let replicas: Vec<&Node> = all.iter().copied().filter(other).collect();
-                self.by_tier(r, &replicas, head)
+                self.read(r, &replicas, head)
             }
         };
         (node.map(Node::id), kept, ask.map(Node::id))
     }
 
-    /// The nearest tier with a replica for it; the primary where none has one.
-    fn by_tier<'a>(
-        &self, r: &Request, replicas: &[&'a Node], head: Option<&'a Node>,
-    ) -> (Option<&'a Node>, Option<&'a Node>) {
-        let tier = |n: &Node| n.level.map_or(0, |l| l.tier);
-        let (mut tiers, mut asked) = (replicas.iter().map(|n| tier(n)).collect::<BTreeSet<u32>>(), None);
-        while let Some(near) = tiers.pop_first() {
-            let within: Vec<&Node> = replicas.iter().copied().filter(|n| tier(n) <= near).collect();
-            let (node, ask) = self.read(r, &within, head.filter(|_| tiers.is_empty()));
-            asked = asked.or(ask);
-            if node.is_some() {
-                return (node, asked);
-            }
-        }
-        (head.filter(|_| replicas.is_empty()), asked)
-    }
-
     /// The ordinary path: least E / W among the replicas fresh enough; and whom to ask for its position.
     fn read<'a>(
         &self, r: &Request, replicas: &[&'a Node], head: Option<&'a Node>,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -471,22 +471,13 @@
     pub write: bool,
 }
 
-/// What a node is to a request.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Level {
-    /// Its tier of preference: one that is lower and has a node with room goes first.
-    pub tier: u32,
-    /// How much of its weight counts, from above 0 to 2.
-    pub counts: f64,
-}
-
 /// Says which zones a request may use now. It stands beside the module, which asks it of each node before it chooses,
 /// and tells it what it sent and what came of it. Without one, zones matter as little as they do to the nodes' cost.
 pub trait Zoning {
     /// Discovery said something.
     fn listed(&mut self, now: Time, update: &ListUpdate);
-    /// What a node is to a request now; none: the request may not go there.
-    fn level(&mut self, now: Time, ask: &Ask, node: &NodeId) -> Option<Level>;
+    /// How much of a node's weight counts for a request now, over 0; none: the request may not go there.
+    fn counts(&mut self, now: Time, ask: &Ask, node: &NodeId) -> Option<f64>;
     /// An attempt was sent.
     fn sent(&mut self, now: Time, ask: &Ask, node: &NodeId);
     /// An attempt ended, so long after it was sent.
--- a/tiers/src/rules.rs
+++ b/tiers/src/rules.rs
@@ -84,7 +84,7 @@
 }
 
 fn default_spill() -> f64 {
-    0.3
+    0.4
 }
 
 /// What is wrong with the rules: the key at fault and why.
--- a/tiers/src/tiers.rs
+++ b/tiers/src/tiers.rs
@@ -9,17 +9,20 @@
 
 /// The state is brought up to date no more often than this; allowances and signs are exact in between.
 const REVIEW: Span = 20_000;
+/// So much of its weight counts for a node, for each tier that it is away: home goes first until its nodes hold some
+/// three times as much work as others.
+const FAR: f64 = 0.15;
 /// An answer is in time within this share of its aim.
 const IN_TIME: f64 = 0.7;
 /// A class costs this share of its aim at first, and its running mean moves so far with each answer.
 const COST: (f64, f64) = (0.2, 0.03);
 /// One answer counts for no more than so many times the present cost: else a jam would pass for work.
 const COST_EACH: f64 = 2.0;
-/// Of the limit on spill, what routers whose own zone is well may use together, for groups without a fresh replica at
-/// home; the rest is for those who lost theirs.
-const CALM_SPILL: f64 = 0.25;
+/// Of the limit on spill, what routers whose own zone is well may use together, for groups without a fresh replica or
+/// room at home: while all zones are well, and while one is not and the rest is for those who lost theirs.
+const CALM_SPILL: (f64, f64) = (0.5, 0.1);
 /// What is kept under the limit for the spread of what requests cost.
-const SPILL_MARGIN: f64 = 0.92;
+const SPILL_MARGIN: f64 = 0.97;
 /// An allowance keeps up to this share of its depth for requests that are worth more.
 const RESERVE: f64 = 0.7;
 /// How long an answer of another zone proves that its routers need no spill.
@@ -33,11 +36,12 @@
 /// ... and no more often than this.
 const KEEP_GAP: Span = 250_000;
 /// What a zone bears of spill falls and rises so, between these bounds.
-const BEARS: (f64, f64, f64) = (0.8, 0.05, 0.1);
+const BEARS: (f64, f64, f64) = (0.9, 0.05, 0.6);
 /// Trials of a zone that is not used: first gap, and what each router adds so that all together are few.
 const TRIAL: (Span, Span) = (400_000, 4_000);
-/// Of a cold node's allowance, the part of routers whose home it is in.
-const COLD_HOME: f64 = 0.7;
+/// Of what a cold node can do, what the routers of its own zone may use together, and those of all others. The sum,
+/// times the most of `AHEAD`, stays under the multiple at which nodes fall (4 where it was told).
+const COLD: (f64, f64) = (1.0, 0.5);
 /// Cold nodes may be driven ahead of the clock by up to this factor while answers are in time.
 const AHEAD: (f64, f64) = (0.5, 2.0);
 /// One answer's effect on that factor.
@@ -244,11 +248,7 @@
         let share = warm(node.started, now, self.cold_share, self.cold_span) * place.ahead;
         let all = f64::from(self.routers);
         let near = f64::from(place.routers).clamp(1.0, all);
-        let part = if node.zone == self.home || near >= all {
-            if near >= all { 1.0 / all } else { COLD_HOME / near }
-        } else {
-            (1.0 - COLD_HOME) / (all - near)
-        };
+        let part = if node.zone == self.home { COLD.0 / near } else { COLD.1 / (all - near).max(1.0) };
         node.capacity * share.min(1.0) * part
     }
 
@@ -324,7 +324,9 @@
             place.lost_at = None;
             // Where the cause turned out to be common, the zone itself was never lost.
             if cause != Cause::Common {
-                place.ramp.begin(now, self.rules.ramp.start);
+                // Little goes to other zones, so their ramps would see no answers; their share of spill bounds them.
+                let start = if zone == self.home { self.rules.ramp.start } else { 1.0 };
+                place.ramp.begin(now, start);
                 place.ahead = 1.0;
             }
             let line = format!("zone {}: answers again ({cause:?}), on its way back", place.name);
@@ -369,6 +371,8 @@
             || self.keep < 1.0
             || home.suppressed
             || home.capacity < home.full * 0.9;
+        let well = |p: &Place| p.cause == Cause::Well && p.ramp.done() && p.capacity >= p.full * 0.9;
+        let calm_share = if self.places.iter().all(well) { CALM_SPILL.0 } else { CALM_SPILL.1 };
         let all: u32 = self.places.iter().map(|p| p.routers).sum();
         let in_need = |place: &Place| !place.seen.heard_within(now, PROVED) || place.cause != Cause::Well;
         let wanting: u32 = (0..self.places.len())
@@ -379,8 +383,8 @@
             let place = &self.places[zone];
             let own = if in_need(place) && zone != self.home { place.routers } else { 0 };
             let limit = self.rules.spill * place.capacity * place.bears * SPILL_MARGIN;
-            let calm = limit * CALM_SPILL / f64::from((all - place.routers).max(1));
-            let mine = limit * (1.0 - CALM_SPILL) / f64::from((wanting - own.min(wanting)).max(1));
+            let calm = limit * calm_share / f64::from((all - place.routers).max(1));
+            let mine = limit * (1.0 - CALM_SPILL.1) / f64::from((wanting - own.min(wanting)).max(1));
             let rate = if needy { calm + mine } else { calm };
             self.places[zone].spill.refill(now, rate, dearest);
         }
@@ -412,11 +416,15 @@
             return self.trial(now, zone, ask);
         }
         let luck = luck(ask.request, self.salt);
+        let reserve = RESERVE * (1.0 - self.ranks[ask.class]);
         if zone == self.home {
-            return luck < self.keep * place.ramp.share();
+            // What does not stay for want of nodes stays all the same where no other zone takes it.
+            let others = || self.places.iter().filter(|p| p.tier > 0 && p.cause == Cause::Well);
+            let share = place.ramp.share();
+            return luck < self.keep * share
+                || (luck < share && !others().any(|p| p.spill.covers(now, cost, reserve)));
         }
-        let rank = self.ranks[ask.class];
-        place.spill.covers(now, cost, RESERVE * (1.0 - rank))
+        place.spill.covers(now, cost, reserve)
             // Another draw than the one that sent it away from home.
             && (place.ramp.done() || (luck * 7.0).fract() < place.ramp.share())
     }
@@ -469,13 +477,13 @@
         }
     }
 
-    fn level(&mut self, now: Time, ask: &Ask, node: &NodeId) -> Option<Level> {
+    fn counts(&mut self, now: Time, ask: &Ask, node: &NodeId) -> Option<f64> {
         self.review(now);
-        let Some(known) = self.nodes.get(node) else { return Some(Level { tier: 0, counts: 1.0 }) };
+        let Some(known) = self.nodes.get(node) else { return Some(1.0) };
         let (zone, tier) = (known.zone, self.places[known.zone].tier);
         // The primary alone takes writes, wherever it is.
         if ask.write {
-            return Some(Level { tier: 0, counts: 1.0 });
+            return Some(1.0);
         }
         let cost = self.costs[ask.class] / 1e6;
         let cold = warm(known.started, now, self.cold_share, self.cold_span) < 1.0;
@@ -490,8 +498,8 @@
                 return None;
             }
         }
-        let counts = if cold { self.places[zone].ahead } else { 1.0 };
-        Some(Level { tier, counts })
+        let pace = if cold { self.places[zone].ahead } else { 1.0 };
+        Some(pace * FAR.powi(tier as i32))
     }
 
     fn sent(&mut self, now: Time, ask: &Ask, node: &NodeId) {
@@ -533,7 +541,9 @@
         }
         let place = &mut self.places[zone];
         place.seen.take(now, node, sign);
-        let slowed = 1.0 + place.flap.penalty(now, &self.rules.flap) / 1_000.0;
+        // A single loss is no flapping.
+        let flaps = place.flap.penalty(now, &self.rules.flap) / self.rules.flap.each - 1.0;
+        let slowed = 1.0 + flaps.max(0.0);
         match sign {
             Sign::Good if ending == Ending::Success => {
                 place.ramp.good(now, &self.rules.ramp, slowed);
