Give the router a command line, structured logs and an operators' file; tiers in service

Reason: tiers belong to an installation, not to the platform, and must be checked before any traffic; the log had one form.

A read holds for the report of a near replica before it goes far.

--- a/fleet/src/spec.rs
+++ b/fleet/src/spec.rs
@@ -470,7 +470,7 @@
             Rules {
                 home: String::new(),
                 zones: self.zones.iter().map(zone).collect(),
-                spill: 0.4,
+                spill: 0.5,
                 cores: cores.into(),
                 ramp: Default::default(),
                 flap: Default::default(),
--- a/router/src/config.rs
+++ b/router/src/config.rs
@@ -7,6 +7,7 @@
 use std::env;
 use std::fs;
 use std::net::SocketAddr;
+use std::path::Path;
 
 /// Descriptors taken where no limit is told.
 const SOCKETS: u64 = 1_024;
@@ -51,6 +52,12 @@
     from_file(|name| if name == "PROXY_DISCOVERY" { None } else { env::var(name).ok() })
 }
 
+/// Reads a file as it stands, whatever variables say.
+pub fn read_file(path: &Path) -> Read<Config> {
+    let json = fs::read(path).map_err(|e| Fault::new(format!("cannot read {}: {e}", path.display())))?;
+    from_json(json, |_| None).map_err(|fault| fault.within(&path.display().to_string()))
+}
+
 fn from_file(variable: impl Fn(&str) -> Option<String>) -> Read<Config> {
     let path = env::var("PROXY_CONFIG").map_err(|_| Fault::new("PROXY_CONFIG is missing"))?;
     let json = fs::read(&path).map_err(|e| Fault::new(format!("PROXY_CONFIG: cannot read {path}: {e}")))?;
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod discovery;
 pub mod front;
 pub mod net;
+pub mod operators;
 pub mod pgwire;
 pub mod serve;
 pub mod upstream;
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -1,9 +1,75 @@
 //! plovercove, the router: PostgreSQL clients in front, groups of replicated db nodes behind, and in between the
 //! decision module. All of it is in the library; here are the command line, the log and the exit code.
 
+use clap::{Parser, Subcommand, ValueEnum};
+use plovercove_router::operators::Operators;
 use plovercove_router::{config, net, serve};
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+/// Routes reads and writes to groups of replicated databases. Without a command it serves; PROXY_CONFIG names its
+/// configuration.
+#[derive(Parser)]
+#[command(name = "plovercove", version)]
+struct Line {
+    /// The operators' file, a Starlark script of settings that belong to the installation.
+    #[arg(long, value_name = "FILE")]
+    operators: Option<PathBuf>,
+    /// The form of the log on standard error.
+    #[arg(long, value_enum, default_value_t = LogFormat::Text)]
+    log_format: LogFormat,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum LogFormat {
+    Text,
+    Json,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Check a file and end: an operators' file (.star) or a configuration (.json).
+    Check {
+        /// The file.
+        file: PathBuf,
+    },
+}
+
+fn check(file: &Path) -> Result<String, String> {
+    if file.extension().is_some_and(|kind| kind == "json") {
+        let config = config::read_file(file).map_err(|e| e.to_string())?;
+        return Ok(format!(
+            "a configuration for {:?}, {} classes",
+            config.name,
+            config.settings.classes.len()
+        ));
+    }
+    let told = Operators::read(file).map_err(|e| e.to_string())?;
+    Ok(match told.tiers {
+        Some(rules) => format!("{} zones, a spill of {} at most", rules.zones.len(), rules.spill),
+        None => "it sets nothing".into(),
+    })
+}
+
+fn serve(line: &Line, signals: net::signals::Signals) -> Result<(), String> {
+    let config = config::read().map_err(|e| e.to_string())?;
+    let told = line.operators.as_deref().map(Operators::read).transpose().map_err(|e| e.to_string())?;
+    let tiers = told.unwrap_or_default().tiers(&config.settings, config.seed)?;
+    let log = tracing_subscriber::fmt()
+        .with_writer(std::io::stderr)
+        .with_ansi(false)
+        .with_target(false)
+        .with_max_level(config.log);
+    match line.log_format {
+        LogFormat::Text => log.init(),
+        LogFormat::Json => log.json().flatten_event(true).init(),
+    }
+    let router = serve::Router::new(config, tiers, line.operators.clone(), signals);
+    router.and_then(serve::Router::run).map_err(|e| format!("cannot go on: {e}"))
+}
+
 fn main() -> ExitCode {
     // Danger: a signal that comes before it is caught ends the process, whatever it was meant to say.
     let signals = match net::signals::Signals::catch() {
@@ -13,23 +79,15 @@
             return ExitCode::FAILURE;
         }
     };
-    let config = match config::read() {
-        Ok(config) => config,
-        Err(fault) => {
-            eprintln!("plovercove: {fault}");
-            return ExitCode::FAILURE;
-        }
+    let line = Line::parse();
+    let ended = match &line.command {
+        Some(Command::Check { file }) => check(file).map(|said| println!("{}: good, {said}", file.display())),
+        None => serve(&line, signals),
     };
-    tracing_subscriber::fmt()
-        .with_writer(std::io::stderr)
-        .with_ansi(false)
-        .with_target(false)
-        .with_max_level(config.log)
-        .init();
-    match serve::Router::new(config, signals).and_then(serve::Router::run) {
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            tracing::error!("cannot go on: {e}");
+        Err(why) => {
+            eprintln!("plovercove: {why}");
             ExitCode::FAILURE
         }
     }
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -7,13 +7,16 @@
 use crate::net::budget::Budget;
 use crate::net::signals::{Registration, Signal, Signals};
 use crate::net::{Source, split};
+use crate::operators::Operators;
 use crate::upstream::pg::Upstream;
 use plovercove::{ListUpdate, Listed, Time};
 use plovercove_core::{Command, Core, Due};
 use plovercove_poller::{Events, Poll};
 use plovercove_settings::Names;
+use plovercove_tiers::Tiers;
 use std::io::{self, ErrorKind};
 use std::net::TcpListener;
+use std::path::PathBuf;
 use std::time::Duration;
 use tracing::{debug, info, warn};
 
@@ -31,12 +34,17 @@
     front: Front,
     upstream: Upstream,
     discovery: Discovery,
+    operators: Option<PathBuf>,
     stopping: bool,
 }
 
 impl Router {
     /// A router that listens, and knows the list that it was given.
-    pub fn new(config: Config, signals: Signals) -> io::Result<Self> {
+    ///
+    /// `tiers` say which zones a request may use; `operators` is the file that they come from, checked on SIGHUP.
+    pub fn new(
+        config: Config, tiers: Option<Tiers>, operators: Option<PathBuf>, signals: Signals,
+    ) -> io::Result<Self> {
         let poll = Poll::new()?;
         let signals = signals.register(&poll)?;
         let listener = TcpListener::bind(config.listen)?;
@@ -56,7 +64,11 @@
                 settings.connection_idle,
             ),
             discovery: Discovery::new(&poll, config.discovery),
-            core: Core::new(settings, config.seed),
+            core: match tiers {
+                Some(tiers) => Core::new(settings, config.seed).zoned(Box::new(tiers)),
+                None => Core::new(settings, config.seed),
+            },
+            operators,
             poll,
             stopping: false,
         };
@@ -206,6 +218,11 @@
 
     /// Takes over what a running router can; a file that is no good leaves all as it was.
     fn reload(&mut self, now: Time) {
+        match self.operators.as_deref().map(Operators::read) {
+            Some(Err(fault)) => return warn!("SIGHUP: {fault}; all stays as it was"),
+            Some(Ok(_)) => info!("SIGHUP: the operators' file is good; it is taken over at the next start"),
+            None => {}
+        }
         match config::reread() {
             Ok(config) => {
                 info!(discovery = %config.discovery, "SIGHUP: the configuration was read again");
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -423,15 +423,19 @@
             self.groups.entry(group).or_default().gates[usize::from(write)].step(self.now, GATE_RISE);
         }
         let r = &self.requests[&id];
-        // Where nothing else proves a replica fresh, the read waits for the report that it asked for.
+        // Where nothing else proves a replica fresh, or none that is near, the read waits for the report that it
+        // asked for.
+        let counts = |n: &NodeId| self.nodes.get(n).and_then(|n| n.counts).unwrap_or(1.0);
+        let worse = |than: &NodeId| {
+            let far = node.as_ref().is_none_or(|n| counts(n) < counts(than));
+            far || node.as_ref() == self.primary(r.what.group)
+        };
         let pending = r.asked.as_ref().is_some_and(|(asked, at)| {
-            self.nodes.get(asked).is_some_and(|n| n.told < *at)
-                && self.now < at + PROBE_HOLD
-                && node.as_ref() == self.primary(r.what.group)
+            let unheard = self.nodes.get(asked).is_some_and(|n| n.told < *at);
+            unheard && self.now < at + PROBE_HOLD && worse(asked)
         });
         let proof = self.cfg.replica_check == ReplicaCheck::None && !write;
-        let unproved = node.is_none() || node.as_ref() == self.primary(r.what.group);
-        let hold = proof && (pending || (unproved && r.asked.is_none() && ask.is_some()));
+        let hold = proof && (pending || (r.asked.is_none() && ask.as_ref().is_some_and(worse)));
         let r = self.requests.get_mut(&id).expect("placed requests exist");
         r.barred = !kept.is_empty() || (shut && node.is_none() && ask.is_none());
         if let Some(asked) = ask {
@@ -516,8 +520,10 @@
         let (fresh, behind): (Vec<&Node>, Vec<&Node>) = serving.partition(|n| self.fresh(self.now, n, r));
         // Hundreds of routers pay for each other's probes, so there one is asked only when the answer may win
         // a read its first replica. A few ask whenever one falls out: else all crowd on the one last asked.
-        let needed = fresh.is_empty() || self.cfg.replica_check != ReplicaCheck::None || !self.thin;
-        let ask = behind.into_iter().filter(|n| needed && self.worth_asking(n)).min_by_key(|n| n.probed);
+        let far = |n: &&Node| n.counts.is_some_and(|counts| counts < 1.0);
+        let needed = fresh.iter().all(far) || self.cfg.replica_check != ReplicaCheck::None || !self.thin;
+        let ask = behind.into_iter().filter(|n| needed && self.worth_asking(n));
+        let ask = ask.min_by_key(|n| (far(n), n.probed));
         // Danger: spread over all replicas, long reads keep the log from being applied anywhere.
         let loose = self.cfg.classes[r.what.class].access == Access::Any;
         let old = |n: &Node| self.now.saturating_sub(n.position) > self.old;
--- a/tiers/src/tiers.rs
+++ b/tiers/src/tiers.rs
@@ -11,7 +11,7 @@
 const REVIEW: Span = 20_000;
 /// So much of its weight counts for a node, for each tier that it is away: home goes first until its nodes hold some
 /// three times as much work as others.
-const FAR: f64 = 0.15;
+const FAR: (f64, f64) = (0.08, 0.5);
 /// An answer is in time within this share of its aim.
 const IN_TIME: f64 = 0.7;
 /// A class costs this share of its aim at first, and its running mean moves so far with each answer.
@@ -20,7 +20,7 @@
 const COST_EACH: f64 = 2.0;
 /// Of the limit on spill, what routers whose own zone is well may use together, for groups without a fresh replica or
 /// room at home: while all zones are well, and while one is not and the rest is for those who lost theirs.
-const CALM_SPILL: (f64, f64) = (0.5, 0.1);
+const CALM_SPILL: (f64, f64) = (1.0, 0.45);
 /// What is kept under the limit for the spread of what requests cost.
 const SPILL_MARGIN: f64 = 0.97;
 /// An allowance keeps up to this share of its depth for requests that are worth more.
@@ -74,9 +74,10 @@
     suppressed: bool,
     ramp: Ramp,
     trial_at: Time,
-    /// Capacity in seconds of work a second: what nodes that answer have now, what those listed as serving have once
-    /// warm, and what all that were named of late had.
+    /// Capacity in seconds of work a second: what nodes that answer have now, what those listed as serving have now
+    /// and once warm, and what all that were named of late had.
     capacity: f64,
+    warm: f64,
     listed: f64,
     full: f64,
     serving: usize,
@@ -286,7 +287,7 @@
     /// Counts what the zones have.
     fn count(&mut self, now: Time) {
         for place in &mut self.places {
-            (place.capacity, place.listed, place.full, place.serving) = (0.0, 0.0, 0.0, 0);
+            (place.capacity, place.warm, place.listed, place.full, place.serving) = (0.0, 0.0, 0.0, 0.0, 0);
         }
         self.nodes.retain(|_, n| n.left.is_none_or(|at| now < at + REMEMBERED));
         let (cold_share, cold_span) = (self.cold_share, self.cold_span);
@@ -297,6 +298,7 @@
             if node.serving {
                 place.serving += 1;
                 place.listed += node.capacity;
+                place.warm += node.capacity * share;
                 place.capacity += if node.fails >= 2 { 0.0 } else { node.capacity * share };
             }
         }
@@ -343,7 +345,7 @@
     /// How much of the home zone's requests stays at home: what is left of it, corrected by how its answers go.
     fn balance_home(&mut self, now: Time) {
         let home = &self.places[self.home];
-        let left = if home.full > 0.0 { home.capacity / home.full } else { 1.0 };
+        let left = if home.full > 0.0 { home.warm / home.full } else { 1.0 };
         if now < self.keep_at + KEEP_GAP {
             return;
         }
@@ -370,7 +372,8 @@
             || !home.ramp.done()
             || self.keep < 1.0
             || home.suppressed
-            || home.capacity < home.full * 0.9;
+            || home.capacity < home.full * 0.9
+            || home.seen.strained() == Some(true);
         let well = |p: &Place| p.cause == Cause::Well && p.ramp.done() && p.capacity >= p.full * 0.9;
         let calm_share = if self.places.iter().all(well) { CALM_SPILL.0 } else { CALM_SPILL.1 };
         let all: u32 = self.places.iter().map(|p| p.routers).sum();
@@ -412,7 +415,7 @@
     fn open(&self, now: Time, ask: &Ask, zone: usize, cost: f64) -> bool {
         let place = &self.places[zone];
         let lost = matches!(place.cause, Cause::Gone | Cause::Dark | Cause::Link);
-        if lost || place.suppressed {
+        if lost || (place.suppressed && zone != self.home) {
             return self.trial(now, zone, ask);
         }
         let luck = luck(ask.request, self.salt);
@@ -420,9 +423,11 @@
         if zone == self.home {
             // What does not stay for want of nodes stays all the same where no other zone takes it.
             let others = || self.places.iter().filter(|p| p.tier > 0 && p.cause == Cause::Well);
-            let share = place.ramp.share();
+            let share = if place.suppressed { self.rules.ramp.start } else { 1.0 };
+            let share = place.ramp.share().min(share);
             return luck < self.keep * share
-                || (luck < share && !others().any(|p| p.spill.covers(now, cost, reserve)));
+                || ((luck < share || place.suppressed)
+                    && !others().any(|p| p.spill.covers(now, cost, reserve)));
         }
         place.spill.covers(now, cost, reserve)
             // Another draw than the one that sent it away from home.
@@ -499,7 +504,8 @@
             }
         }
         let pace = if cold { self.places[zone].ahead } else { 1.0 };
-        Some(pace * FAR.powi(tier as i32))
+        let strained = self.places[self.home].seen.strained() == Some(true);
+        Some(pace * if strained { FAR.1 } else { FAR.0 }.powi(tier as i32))
     }
 
     fn sent(&mut self, now: Time, ask: &Ask, node: &NodeId) {
