Operators' files are taken over on SIGHUP, log lines name request, node, zone and reason

An operators' file that changed was taken over at the next start only, and a restart in the middle of trouble loses what tiers have learned. Zones' news were lines of text that programs cannot search. On SIGHUP the configuration and the operators' file are both read before either is taken over; new tiers inherit evidence, ramps, penalties, costs and what allowances have spent, by zone name. Log lines are News with node, zone and reason; the core logs each send, end and given-up request with them.

--- a/adapter/src/write.rs
+++ b/adapter/src/write.rs
@@ -45,7 +45,7 @@
         Action::Probe(node) => write!(reply, "[\"Check\",{}]", quoted(node)),
         Action::Close(node) => write!(reply, "[\"HangUp\",{}]", quoted(node)),
         Action::Subscribe => write!(reply, "[\"Track\",true]"),
-        Action::Log(line) => write!(reply, "[\"Record\",{}]", quoted(line)),
+        Action::Log(news) => write!(reply, "[\"Record\",{}]", quoted(&news.text)),
     };
     debug_assert!(done.is_ok(), "a string takes every write");
 }
--- a/core/src/core.rs
+++ b/core/src/core.rs
@@ -70,7 +70,14 @@
     until: Time,
     /// Its last byte has been written: from then on it may have run.
     written: bool,
-    out: bool,
+    /// How it ended; none while it is out.
+    ended: Option<Ending>,
+}
+
+impl Attempt {
+    fn out(&self) -> bool {
+        self.ended.is_none()
+    }
 }
 
 struct Request {
@@ -88,8 +95,10 @@
     balancer: Balancer,
     classes: Vec<Class>,
     requests: Table<Request>,
-    /// The groups of the nodes that the list names.
-    members: BTreeMap<NodeId, GroupId>,
+    /// What the list says of the nodes that it names.
+    members: BTreeMap<NodeId, NodeEntry>,
+    /// Discovery itself has spoken; before that all that is known is what was remembered.
+    listed: bool,
     events: Vec<Event>,
     actions: Vec<Action>,
     commands: Vec<Command>,
@@ -105,6 +114,7 @@
             balancer: Balancer::new(settings, seed),
             requests: Table::new(),
             members: BTreeMap::new(),
+            listed: false,
             events: Vec::new(),
             actions: Vec::new(),
             commands: Vec::new(),
@@ -118,6 +128,28 @@
         self
     }
 
+    /// What says which zones a request may use, if anything does.
+    pub fn zoning(&mut self) -> Option<&mut dyn Zoning> {
+        self.balancer.zoning.as_deref_mut()
+    }
+
+    /// Puts something else, or nothing, in the place of what says which zones a request may use. It is told the list as
+    /// it is known; attempts that are out stay out, and it hears of their ends.
+    pub fn rezone(&mut self, now: Time, zoning: Option<Box<dyn Zoning>>) {
+        self.balancer.zoning = zoning;
+        if let Some(zoning) = &mut self.balancer.zoning {
+            let known = self.members.values().cloned().collect();
+            let update = if self.listed { ListUpdate::Full(known) } else { ListUpdate::Restored(known) };
+            zoning.listed(now, &update);
+        }
+        // Requests that wait are decided anew.
+        self.events.push(Event::Timer);
+    }
+
+    fn zone_of(&self, node: &NodeId) -> &str {
+        self.members.get(node).map_or("", |entry| &entry.zone)
+    }
+
     /// How many requests are owed an answer or have an attempt out.
     pub fn held(&self) -> usize {
         self.requests.len()
@@ -130,11 +162,12 @@
 
     /// Whether the list names a member of this group.
     pub fn knows_group(&self, group: GroupId) -> bool {
-        self.members.values().any(|known| *known == group)
+        self.members.values().any(|known| known.group == group)
     }
 
     /// Discovery told something.
     pub fn list(&mut self, update: ListUpdate) {
+        self.listed |= matches!(update, ListUpdate::Changes(_) | ListUpdate::Full(_));
         if let ListUpdate::Full(_) | ListUpdate::Restored(_) = &update {
             self.members.clear();
         }
@@ -142,7 +175,7 @@
             for entry in all {
                 match entry.state {
                     Listed::Gone => drop(self.members.remove(&entry.node)),
-                    _ => drop(self.members.insert(entry.node.clone(), entry.group)),
+                    _ => drop(self.members.insert(entry.node.clone(), entry.clone())),
                 }
             }
         }
@@ -201,14 +234,15 @@
         &mut self, now: Time, id: AttemptId, ending: Ending, note: Standing, report: Standing,
     ) -> Option<Key> {
         let r = self.requests.get_mut(id.request)?;
-        let attempt = r.attempts.get_mut(id.number as usize).filter(|a| a.out)?;
-        attempt.out = false;
+        let attempt = r.attempts.get_mut(id.number as usize).filter(|a| a.out())?;
+        attempt.ended = Some(ending);
         let elapsed = now.saturating_sub(attempt.sent);
         self.deadlines.remove(attempt.until, Due::Attempt(id));
         let never =
             matches!(ending, Ending::Overloaded | Ending::Unreachable | Ending::Void | Ending::Missed);
         r.may_have_run |= !never;
-        debug!(request = id.request.number(), attempt = id.number, node = %attempt.node, ?ending, elapsed, "ended");
+        let zone = self.members.get(&attempt.node).map_or("", |entry| &entry.zone);
+        debug!(request = id.request.number(), attempt = id.number, node = %attempt.node, zone, reason = ending.word(), elapsed, "ended");
         let served = ending == Ending::Success && std::mem::take(&mut r.open);
         let (over, origin) = (!r.open, r.origin);
         let (request, attempt) = (id.request.number(), id.number);
@@ -246,7 +280,7 @@
     /// Ends an attempt from this side: what has not been written whole never ran.
     fn stop(&mut self, id: AttemptId, now: Time, written: Ending, unwritten: Ending) {
         let attempt = self.requests.get(id.request).and_then(|r| r.attempts.get(id.number as usize));
-        let Some(attempt) = attempt.filter(|a| a.out) else { return };
+        let Some(attempt) = attempt.filter(|a| a.out()) else { return };
         let ending = if attempt.written { written } else { unwritten };
         self.commands.push(Command::GiveUp { attempt: id, node: attempt.node.clone() });
         self.ended(now, id, ending, Standing::default(), Standing::default());
@@ -281,7 +315,10 @@
             Action::Wake(after) => self.deadlines.add(now + after, Due::Wake),
             Action::Probe(node) => self.commands.push(Command::Probe(node)),
             Action::Close(node) => self.commands.push(Command::CloseIdle(node)),
-            Action::Log(line) => info!("{line}"),
+            Action::Log(News { node, zone, reason, text }) => {
+                let zone = zone.as_deref().or(node.as_ref().map(|n| self.zone_of(n)));
+                info!(node = node.as_ref().map(tracing::field::display), zone, reason, "{text}");
+            }
             // The watch is always on.
             Action::Subscribe => {}
         }
@@ -291,7 +328,10 @@
         let Some(r) = self.requests.get_mut(request).filter(|r| r.open) else { return };
         let attempt = AttemptId { request, number: r.attempts.len() as u32 };
         let until = now + timeout;
-        r.attempts.push(Attempt { node: node.clone(), sent: now, until, written: false, out: true });
+        let reason = r.attempts.last().map_or("first", |a| a.ended.map_or("second copy", Ending::word));
+        let zone = self.members.get(&node).map_or("", |entry| &entry.zone);
+        debug!(request = request.number(), attempt = attempt.number, %node, zone, reason, "sent");
+        r.attempts.push(Attempt { node: node.clone(), sent: now, until, written: false, ended: None });
         self.deadlines.add(until, Due::Attempt(attempt));
         self.commands.push(Command::Send { attempt, origin: r.origin, node });
     }
@@ -300,20 +340,33 @@
         let Some(r) = self.requests.get_mut(request).filter(|r| r.open) else { return };
         r.open = false;
         // The last guard of the rule on refusals: what may have run, and must not run twice, is never called harmless.
-        let risky = r.unsafe_to_repeat && (r.may_have_run || r.attempts.iter().any(|a| a.out && a.written));
+        let risky = r.unsafe_to_repeat && (r.may_have_run || r.attempts.iter().any(|a| a.out() && a.written));
         let answer = if risky && answer != Answer::Failed {
             warn!(request = request.number(), "a refusal was turned into a failure: the write may have run");
             Answer::Failed
         } else {
             answer
         };
+        let last = r.attempts.last();
+        let node = last.map(|a| tracing::field::display(&a.node));
+        let zone = last.and_then(|a| self.members.get(&a.node)).map(|entry| entry.zone.as_str());
+        let reason = last.map_or("not placed", |a| a.ended.map_or("still out", Ending::word));
+        debug!(
+            request = request.number(),
+            attempts = r.attempts.len(),
+            node,
+            zone,
+            reason,
+            ?answer,
+            "given up"
+        );
         self.commands.push(Command::Answer { request, origin: r.origin, answer });
         self.forget(request);
     }
 
     /// Gives a request's slot back once nothing is owed and no attempt is out.
     fn forget(&mut self, request: Key) {
-        if self.requests.get(request).is_some_and(|r| !r.open && r.attempts.iter().all(|a| !a.out)) {
+        if self.requests.get(request).is_some_and(|r| !r.open && r.attempts.iter().all(|a| !a.out())) {
             self.requests.remove(request);
         }
     }
--- a/fleet/src/strict.rs
+++ b/fleet/src/strict.rs
@@ -1,6 +1,6 @@
 //! The baseline `strict`: the home zone first, others where home has no room or no fresh replica. No limit, no ramp.
 
-use plovercove::{Ask, Ending, ListUpdate, Listed, NodeId, Span, Time, Zoning};
+use plovercove::{Ask, Ending, ListUpdate, Listed, News, NodeId, Span, Time, Zoning};
 use std::collections::BTreeSet;
 
 /// So little counts a node of another zone: whatever the load at home, it goes first while it has room.
@@ -48,7 +48,7 @@
         most / 2
     }
 
-    fn news(&mut self) -> Option<String> {
+    fn news(&mut self) -> Option<News> {
         None
     }
 }
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -2,7 +2,7 @@
 //! decision module. All of it is in the library; here are the command line, the log and the exit code.
 
 use clap::{Parser, Subcommand, ValueEnum};
-use plovercove_router::operators::Operators;
+use plovercove_router::operators::{Operators, Source};
 use plovercove_router::{config, net, serve};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -55,8 +55,10 @@
 
 fn serve(line: &Line, signals: net::signals::Signals) -> Result<(), String> {
     let config = config::read().map_err(|e| e.to_string())?;
-    let told = line.operators.as_deref().map(Operators::read).transpose().map_err(|e| e.to_string())?;
-    let tiers = told.unwrap_or_default().tiers(&config.settings, config.seed)?;
+    let source =
+        |path: &PathBuf| Source { path: path.clone(), settings: config.settings.clone(), seed: config.seed };
+    let operators = line.operators.as_ref().map(source);
+    let tiers = operators.as_ref().map_or(Ok(None), Source::tiers)?;
     let log = tracing_subscriber::fmt()
         .with_writer(std::io::stderr)
         .with_ansi(false)
@@ -66,7 +68,7 @@
         LogFormat::Text => log.init(),
         LogFormat::Json => log.json().flatten_event(true).init(),
     }
-    let router = serve::Router::new(config, tiers, line.operators.clone(), signals);
+    let router = serve::Router::new(config, tiers, operators, signals);
     router.and_then(serve::Router::run).map_err(|e| format!("cannot go on: {e}"))
 }
 
--- a/router/src/operators.rs
+++ b/router/src/operators.rs
@@ -1,11 +1,11 @@
 //! The operators' file: a Starlark script of settings that belong to an installation and not to the platform. It is
-//! evaluated once, when the router starts, and checked again on SIGHUP.
+//! evaluated when the router starts, and again on SIGHUP.
 
 use plovercove::Settings;
 use plovercove_script::{Fault, Script};
 use plovercove_tiers::{Rules, Tiers};
 use serde::Deserialize;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 /// What operators may set.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize)]
@@ -39,6 +39,27 @@
     }
 }
 
+/// The operators' file of a router that serves, and what its parts are made with.
+pub struct Source {
+    /// Where it lies.
+    pub path: PathBuf,
+    /// What the platform tells the router.
+    pub settings: Settings,
+    /// The seed of its random numbers.
+    pub seed: u64,
+}
+
+impl Source {
+    /// Reads the file again: the tiers that it describes, which know nothing yet.
+    ///
+    /// # Errors
+    /// Names the file, and the line and the key at fault.
+    pub fn tiers(&self) -> Result<Option<Tiers>, String> {
+        let told = Operators::read(&self.path).map_err(|e| e.to_string())?;
+        told.tiers(&self.settings, self.seed).map_err(|e| format!("{}: {e}", self.path.display()))
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -7,16 +7,16 @@
 use crate::net::budget::Budget;
 use crate::net::signals::{Registration, Signal, Signals};
 use crate::net::{Source, split};
-use crate::operators::Operators;
+use crate::operators;
 use crate::upstream::pg::Upstream;
-use plovercove::{ListUpdate, Listed, Time};
+use plovercove::{ListUpdate, Listed, Time, Zoning};
 use plovercove_core::{Command, Core, Due};
 use plovercove_poller::{Events, Poll};
 use plovercove_settings::Names;
 use plovercove_tiers::Tiers;
+use std::any::Any;
 use std::io::{self, ErrorKind};
 use std::net::TcpListener;
-use std::path::PathBuf;
 use std::time::Duration;
 use tracing::{debug, info, warn};
 
@@ -34,16 +34,16 @@
     front: Front,
     upstream: Upstream,
     discovery: Discovery,
-    operators: Option<PathBuf>,
+    operators: Option<operators::Source>,
     stopping: bool,
 }
 
 impl Router {
     /// A router that listens, and knows the list that it was given.
     ///
-    /// `tiers` say which zones a request may use; `operators` is the file that they come from, checked on SIGHUP.
+    /// `tiers` say which zones a request may use; `operators` is the file that they come from, read again on SIGHUP.
     pub fn new(
-        config: Config, tiers: Option<Tiers>, operators: Option<PathBuf>, signals: Signals,
+        config: Config, tiers: Option<Tiers>, operators: Option<operators::Source>, signals: Signals,
     ) -> io::Result<Self> {
         let poll = Poll::new()?;
         let signals = signals.register(&poll)?;
@@ -218,18 +218,29 @@
 
     /// Takes over what a running router can; a file that is no good leaves all as it was.
     fn reload(&mut self, now: Time) {
-        match self.operators.as_deref().map(Operators::read) {
-            Some(Err(fault)) => return warn!("SIGHUP: {fault}; all stays as it was"),
-            Some(Ok(_)) => info!("SIGHUP: the operators' file is good; it is taken over at the next start"),
-            None => {}
+        // Both are read before either is taken over.
+        let tiers = self.operators.as_ref().map(operators::Source::tiers).transpose();
+        let (config, tiers) = match (config::reread(), tiers) {
+            (Ok(config), Ok(tiers)) => (config, tiers),
+            (Err(fault), _) => return warn!("SIGHUP: {fault}; all stays as it was"),
+            (_, Err(fault)) => return warn!("SIGHUP: {fault}; all stays as it was"),
+        };
+        info!(discovery = %config.discovery, "SIGHUP: the configuration was read again");
+        self.discovery.move_to(config.discovery, now, &mut self.core);
+        if let Some(tiers) = tiers {
+            let zones = tiers.as_ref().map_or(0, |t| t.view().len());
+            self.rezone(tiers, now);
+            info!(zones, "SIGHUP: the operators' file was taken over");
         }
-        match config::reread() {
-            Ok(config) => {
-                info!(discovery = %config.discovery, "SIGHUP: the configuration was read again");
-                self.discovery.move_to(config.discovery, now, &mut self.core);
-            }
-            Err(fault) => warn!("SIGHUP: {fault}; the configuration stays as it was"),
+    }
+
+    /// Puts other tiers in the place of those in use; they go on from what these have learned.
+    fn rezone(&mut self, mut tiers: Option<Tiers>, now: Time) {
+        let old = self.core.zoning().map(|zoning| zoning as &mut dyn Any).and_then(<dyn Any>::downcast_mut);
+        if let (Some(fresh), Some(old)) = (&mut tiers, old) {
+            fresh.inherit(old);
         }
+        self.core.rezone(now, tiers.map(|tiers| Box::new(tiers) as Box<dyn Zoning>));
     }
 
     fn terminate(&mut self, now: Time) {
--- a/router/tests/exchanges.rs
+++ b/router/tests/exchanges.rs
@@ -11,6 +11,7 @@
 //! | `p closed`, `r1 close` | closes a db node's listener, or a connection |
 //! | `router term`, `router exit` | sends SIGTERM; waits for the program's end |
 //! | `router reload WHO` | puts that listener's address in the place of the agent's and sends SIGHUP; `broken` cuts the file short |
+//! | `router operators NAME` | puts `NAME.star` in the place of the operators' file, with which a router starts where the exchange has one of its name |
 //! | `router says WORDS` | waits for a line of the log that holds these words |
 
 use socket2::SockRef;
@@ -80,11 +81,13 @@
         }
         let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.json"));
         fs::write(&path, &config).expect("a place for the configuration");
-        let mut router = Command::new(env!("CARGO_BIN_EXE_plovercove"))
-            .env("PROXY_CONFIG", &path)
-            .stderr(Stdio::piped())
-            .spawn()
-            .expect("the router starts");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_plovercove"));
+        command.env("PROXY_CONFIG", &path).stderr(Stdio::piped());
+        if folder.join(format!("{name}.star")).is_file() {
+            place_operators(name, &path);
+            command.arg("--operators").arg(path.with_extension("star"));
+        }
+        let mut router = command.spawn().expect("the router starts");
         let mut log = BufReader::new(router.stderr.take().expect("piped")).lines();
         let address = log
             .by_ref()
@@ -126,6 +129,7 @@
                 fs::write(path, changed).expect("a place for the configuration");
                 self.signal("-HUP");
             }
+            ("router", ("operators", name)) => place_operators(name, &self.config.0),
             ("router", ("says", words)) => loop {
                 let line = self.log.recv_timeout(HANGS).unwrap_or_else(|e| panic!("{line}: {e}"));
                 if line.contains(words) {
@@ -283,6 +287,13 @@
     bytes
 }
 
+/// Puts an operators' file beside the configuration.
+fn place_operators(name: &str, config: &Path) {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/exchanges");
+    let to = config.with_extension("star");
+    fs::copy(folder.join(format!("{name}.star")), to).expect("a place for the operators' file");
+}
+
 fn play(name: &str) {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/exchanges").join(format!("{name}.txt"));
     let script = fs::read_to_string(path).expect("the exchange");
@@ -318,6 +329,7 @@
     fatal_refusal,
     closing_node,
     reload,
+    rezoned,
     rude,
     spoilt,
     large,
--- /dev/null
+++ b/router/tests/exchanges/rezoned_gone.star
@@ -0,0 +1,1 @@
+# Nothing of zones any more.
--- /dev/null
+++ b/router/tests/exchanges/rezoned_wrong.star
@@ -0,0 +1,4 @@
+tiers = {
+    "home": "z",
+    "zones": [{"name": "z", "routers": 1}, {"name": "z", "routers": 1}],
+}
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -304,7 +304,8 @@
             Some(Role::Primary) if group.primary.as_ref().is_none_or(|(p, t)| at > *t || p == id) => {
                 let (old, since) = group.primary.take().unzip();
                 if old.as_ref() != Some(id) {
-                    actions.push(Action::Log(format!("group {}: primary is {id}", node.entry.group)));
+                    let line = format!("group {}: primary is {id}", node.entry.group);
+                    actions.push(Action::Log(News::of(id, "primary", line)));
                 }
                 node.denied = None;
                 group.primary = Some((id.clone(), at.max(since.unwrap_or(0))));
@@ -423,8 +424,7 @@
             self.groups.entry(group).or_default().gates[usize::from(write)].step(self.now, GATE_RISE);
         }
         let r = &self.requests[&id];
-        // Where nothing else proves a replica fresh, or none that is near, the read waits for the report that it
-        // asked for.
+        // Where nothing else proves a replica fresh, or none near, it waits for the report it asked for.
         let counts = |n: &NodeId| self.nodes.get(n).and_then(|n| n.counts).unwrap_or(1.0);
         let worse = |than: &NodeId| {
             let far = node.as_ref().is_none_or(|n| counts(n) < counts(than));
@@ -446,7 +446,7 @@
         node.filter(|_| !hold)
     }
 
-    /// Asks how much each member counts for a request; true where all are shut to it, and no room can come up.
+    /// Asks how much each member counts for a request; true where all are shut to it and no room can come up.
     fn consult(&mut self, id: RequestId) -> bool {
         let (r, Some(zoning)) = (&self.requests[&id], &mut self.zoning) else { return false };
         let (ask, mut shut) = (ask(&self.cfg, r), true);
@@ -911,7 +911,7 @@
                 node.wait_on(now);
                 let (out, idle) = (node.out.len(), now.saturating_sub(node.answered) / 1_000);
                 let line = format!("node {id}: silent, set aside; {out} out, no answer for {idle} ms");
-                actions.push(Action::Log(line));
+                actions.push(Action::Log(News::of(id, "silent", line)));
                 silent.push(id.clone());
             }
         }
@@ -967,7 +967,8 @@
     fn heal(&mut self, now: Time, actions: &mut Vec<Action>) {
         (self.silence, self.answered, self.trial_wait) = (0.0, now, TRIAL.0);
         if std::mem::take(&mut self.suspect) {
-            actions.push(Action::Log(format!("node {}: answers again", self.entry.node)));
+            let line = format!("node {}: answers again", self.entry.node);
+            actions.push(Action::Log(News::of(&self.entry.node, "answers again", line)));
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -322,6 +322,23 @@
     Missed,
 }
 
+impl Ending {
+    /// In a word or two, for logs.
+    pub fn word(self) -> &'static str {
+        match self {
+            Ending::Success => "served",
+            Ending::Failure => "error",
+            Ending::Overloaded => "turned away",
+            Ending::TimedOut => "timed out",
+            Ending::Unreachable => "unreachable",
+            Ending::Broken => "reset",
+            Ending::Cancelled => "cancelled",
+            Ending::Void => "never sent",
+            Ending::Missed => "missed",
+        }
+    }
+}
+
 /// A node's role.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
@@ -457,7 +474,32 @@
     /// Subscribe to list changes.
     Subscribe,
     /// A line for the log.
-    Log(String),
+    Log(News),
+}
+
+/// What a line of the log says, and of whom.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct News {
+    /// The node, where it is of one.
+    pub node: Option<NodeId>,
+    /// The zone, where it is of one.
+    pub zone: Option<String>,
+    /// What came about, in a word or two that programs can look for.
+    pub reason: &'static str,
+    /// The line for people.
+    pub text: String,
+}
+
+impl News {
+    /// News of a node.
+    pub fn of(node: &NodeId, reason: &'static str, text: String) -> Self {
+        News { node: Some(node.clone()), reason, text, ..News::default() }
+    }
+
+    /// News of a zone.
+    pub fn of_zone(zone: &str, reason: &'static str, what: &str) -> Self {
+        News { zone: Some(zone.into()), reason, text: format!("zone {zone}: {what}"), ..News::default() }
+    }
 }
 
 /// What [`Zoning`] is asked about: one request that is to be placed.
@@ -473,7 +515,7 @@
 
 /// Says which zones a request may use now. It stands beside the module, which asks it of each node before it chooses,
 /// and tells it what it sent and what came of it. Without one, zones matter as little as they do to the nodes' cost.
-pub trait Zoning {
+pub trait Zoning: std::any::Any {
     /// Discovery said something.
     fn listed(&mut self, now: Time, update: &ListUpdate);
     /// How much of a node's weight counts for a request now, over 0; none: the request may not go there.
@@ -485,5 +527,5 @@
     /// When a request that is refused should come back, `most` from now at the latest.
     fn come_back(&self, ask: &Ask, most: Span) -> Span;
     /// A line for the log, while there is one.
-    fn news(&mut self) -> Option<String>;
+    fn news(&mut self) -> Option<News>;
 }
--- a/tests/growth.rs
+++ b/tests/growth.rs
@@ -148,7 +148,7 @@
         if rig.request(demand(id, ANY)).is_some() {
             ends_after(&mut rig, id, Ending::Broken, 60 * MS);
         }
-        aside += rig.actions.iter().filter(|a| matches!(a, Action::Log(l) if l.contains("silent"))).count();
+        aside += rig.actions.iter().filter(|a| matches!(a, Action::Log(l) if l.reason == "silent")).count();
         rig.later(100 * MS);
     }
     assert!(aside >= 2, "{aside} set aside");
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -54,7 +54,7 @@
     let mut set_aside = 0;
     for _ in 0..40 {
         let log =
-            rig.later(20 * MS).iter().filter(|a| matches!(a, Action::Log(l) if l.contains("silent"))).count();
+            rig.later(20 * MS).iter().filter(|a| matches!(a, Action::Log(l) if l.reason == "silent")).count();
         set_aside += log;
     }
     assert!(set_aside <= 1, "{set_aside} of 3 nodes set aside");
@@ -298,7 +298,7 @@
 }
 
 fn set_aside(actions: &[Action]) -> bool {
-    actions.iter().any(|a| matches!(a, Action::Log(line) if line.contains("set aside")))
+    actions.iter().any(|a| matches!(a, Action::Log(news) if news.text.contains("set aside")))
 }
 
 #[test]
--- a/tiers/src/tiers.rs
+++ b/tiers/src/tiers.rs
@@ -136,7 +136,7 @@
     listed: bool,
     reviewed: Time,
     causes: Vec<Cause>,
-    news: VecDeque<String>,
+    news: VecDeque<News>,
 }
 
 /// Lines of news that wait for the log, at the most.
@@ -209,6 +209,34 @@
         Ok(tiers)
     }
 
+    /// Goes on from where another left off, in service: what it has learned of zones and nodes, ramps under way,
+    /// penalties and what its allowances held stay, and only the rules are new. Zones that they no longer name come last.
+    pub fn inherit(&mut self, old: &mut Tiers) {
+        let mut moved = Vec::with_capacity(old.places.len());
+        for place in std::mem::take(&mut old.places) {
+            let zone = self.zone(&place.name);
+            moved.push(zone);
+            let Place { tier, routers, .. } = self.places[zone];
+            if self.places[zone].name == place.name {
+                self.places[zone] = Place { tier, routers, ..place };
+            }
+        }
+        self.nodes = std::mem::take(&mut old.nodes);
+        for node in self.nodes.values_mut() {
+            node.zone = moved[node.zone];
+        }
+        // What is kept back belongs to the home that it was learned of.
+        if moved.get(old.home) == Some(&self.home) {
+            (self.keep, self.keep_at) = (old.keep, old.keep_at);
+        }
+        if self.costs.len() == old.costs.len() {
+            self.costs.clone_from(&old.costs);
+            self.rank();
+        }
+        (self.told, self.listed, self.reviewed) = (old.told, old.listed, 0);
+        self.news.extend(old.news.drain(..));
+    }
+
     /// How things stand.
     pub fn view(&self) -> Vec<View> {
         let view = |p: &Place| View {
@@ -223,9 +251,9 @@
         self.places.iter().map(view).collect()
     }
 
-    fn log(&mut self, line: String) {
+    fn log(&mut self, zone: usize, reason: &'static str, what: &str) {
         if self.news.len() < MOST_NEWS {
-            self.news.push_back(line);
+            self.news.push_back(News::of_zone(&self.places[zone].name, reason, what));
         }
     }
 
@@ -238,9 +266,8 @@
             return self.places.len() - 1;
         }
         let tier = self.places.iter().map(|p| p.tier).max().unwrap_or(0) + 1;
-        let name = name.to_string();
-        self.log(format!("zone {name}: the rules do not name it; it is used last"));
-        self.places.push(Place { name, tier, bears: 1.0, ahead: 1.0, ..Place::default() });
+        self.places.push(Place { name: name.into(), tier, bears: 1.0, ahead: 1.0, ..Place::default() });
+        self.log(self.places.len() - 1, "not in the rules", "the rules do not name it; it is used last");
         self.places.len() - 1
     }
 
@@ -324,8 +351,12 @@
             place.flap.lost(now, &self.rules.flap);
             place.trial_at = now + TRIAL.0;
             let penalty = place.flap.penalty(now, &self.rules.flap) as u64;
-            let line = format!("zone {}: lost ({cause:?}), penalty {penalty}", place.name);
-            self.log(line);
+            let reason = match cause {
+                Cause::Gone => "gone",
+                Cause::Dark => "dark",
+                _ => "link lost",
+            };
+            self.log(zone, reason, &format!("lost ({cause:?}), penalty {penalty}"));
         } else if !lost(cause) && lost(before) {
             place.lost_at = None;
             // Where the cause turned out to be common, the zone itself was never lost.
@@ -335,14 +366,13 @@
                 place.ramp.begin(now, start);
                 place.ahead = 1.0;
             }
-            let line = format!("zone {}: answers again ({cause:?}), on its way back", place.name);
-            self.log(line);
+            self.log(zone, "way back", &format!("answers again ({cause:?}), on its way back"));
         }
         if was != suppressed {
-            let place = &self.places[zone];
-            let what = if suppressed { "flaps, trials only" } else { "the penalty has faded" };
-            let line = format!("zone {}: {what}", place.name);
-            self.log(line);
+            match suppressed {
+                true => self.log(zone, "flaps", "flaps, trials only"),
+                false => self.log(zone, "penalty faded", "the penalty has faded"),
+            }
         }
     }
 
@@ -595,7 +625,7 @@
         (most as f64 * (1.0 + 2.0 * luck(ask.request ^ 0x5bd1, self.salt)) / 3.0) as Span
     }
 
-    fn news(&mut self) -> Option<String> {
+    fn news(&mut self) -> Option<News> {
         self.news.pop_front()
     }
 }
@@ -614,9 +644,7 @@
             if all > 0.0 && young / all >= TROUBLED {
                 let share = (self.rules.ramp.start * 2.0).min(1.0);
                 self.places[zone].ramp.begin(now, share);
-                let line =
-                    format!("zone {}: young at this router's start, on its way back", self.places[zone].name);
-                self.log(line);
+                self.log(zone, "young", "young at this router's start, on its way back");
             }
         }
     }
--- a/tiers/tests/random.rs
+++ b/tiers/tests/random.rs
@@ -60,6 +60,7 @@
     Ask(usize, bool),
     End(usize, u8, u64),
     Wait(u64),
+    Reload(usize),
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -69,6 +70,7 @@
         (0..12usize, any::<bool>()).prop_map(|(n, write)| Step::Ask(n, write)),
         (0..12usize, 0..9u8, 0..2_000_000u64).prop_map(|(n, e, t)| Step::End(n, e, t)),
         (0..5_000_000u64).prop_map(Step::Wait),
+        (0..3usize).prop_map(Step::Reload),
     ]
 }
 
@@ -127,6 +129,13 @@
                     tiers.ended(now, &ask, &format!("s-{n}").into(), ENDINGS[ending as usize], elapsed);
                 }
                 Step::Wait(span) => now += span,
+                Step::Reload(turn) => {
+                    let mut turned = rules();
+                    turned.zones.rotate_left(turn);
+                    let mut fresh = Tiers::new(turned, &settings(), 5).expect("good rules");
+                    fresh.inherit(&mut tiers);
+                    tiers = fresh;
+                }
             }
             let wait = tiers.come_back(&Ask { request, class: 0, write: false }, 500_000);
             prop_assert!((100_000..=500_000).contains(&wait));
@@ -157,6 +166,53 @@
     assert!(share(Some(now - 2_000_000)) < 0.5, "a zone that started two seconds ago");
 }
 
+#[test]
+fn new_rules_in_service_keep_what_was_learned() {
+    // Danger: an operator who reloads in the middle of trouble would lift every penalty and fill every allowance.
+    let (lost, mut now) = (|n: &usize| n % 4 != 0, 1_000_000_000);
+    let all = |keep: fn(&usize) -> bool| {
+        ListUpdate::Full((0..12).filter(keep).map(|n| entry(n, Listed::Serving, None)).collect())
+    };
+    let mut tiers = Tiers::new(rules(), &settings(), 5).expect("good rules");
+    for _ in 0..4 {
+        tiers.listed(now, &all(|_| true));
+        now += 1_000_000;
+        tiers.listed(now, &all(lost));
+        now += 1_000_000;
+    }
+    tiers.listed(now, &all(|_| true));
+    // The allowance of zone b is spent.
+    let (ask, node): (_, NodeId) = (|request| Ask { request, class: 0, write: false }, "s-1".into());
+    let spend = |tiers: &mut Tiers, now| {
+        (0..1_000)
+            .filter(|n| {
+                tiers.counts(now, &ask(*n), &node).map(|_| tiers.sent(now, &ask(*n), &node)).is_some()
+            })
+            .count()
+    };
+    now += 1_000_000;
+    assert!(spend(&mut tiers, now) > 0, "zone b had something to give");
+    let before = tiers.view();
+    assert!(before[0].suppressed && before[0].ramp < 1.0, "{before:?}");
+    let mut turned = Rules { spill: 0.2, ..rules() };
+    turned.zones.rotate_left(1);
+    turned.zones.pop();
+    turned.zones.push(Zone { name: "a".into(), routers: 2, prefer: vec![vec!["b".into()]] });
+    let mut fresh = Tiers::new(turned, &settings(), 5).expect("good rules");
+    fresh.inherit(&mut tiers);
+    assert_eq!(spend(&mut fresh, now), 0, "what was spent stays spent");
+    let after = fresh.view();
+    let of = |view: &[plovercove_tiers::View], zone: &str| {
+        view.iter().find(|v| v.zone == zone).cloned().expect("known")
+    };
+    let (a, c) = (of(&after, "a"), of(&after, "c"));
+    assert_eq!((a.suppressed, a.ramp, a.capacity), (true, before[0].ramp, before[0].capacity));
+    assert_eq!((of(&after, "b").tier, c.tier), (1, 2), "the new rules' order");
+    now += 200_000;
+    fresh.counts(now, &ask(2_000), &node);
+    assert!(of(&fresh.view(), "b").spill < before[1].spill * 0.6, "the new limit");
+}
+
 #[test]
 fn what_is_worth_least_is_refused_first() {
     let mut tiers = Tiers::new(rules(), &settings(), 5).expect("good rules");
