Spill keeps its limit at the moment of a loss; costs are learned without a bias

Change: the calm part is 45 % of the limit always, answers are cut at three times the mean, buckets hold 70 ms.

--- a/tiers/src/allowance.rs
+++ b/tiers/src/allowance.rs
@@ -17,7 +17,7 @@
 }
 
 /// A bucket holds what comes in so long, in seconds: longer, and a burst would overshoot a window of one second.
-const DEPTH: f64 = 0.1;
+const DEPTH: f64 = 0.07;
 
 impl Allowance {
     /// A bucket whose first level is this share of one request's cost.
--- a/tiers/src/tiers.rs
+++ b/tiers/src/tiers.rs
@@ -19,10 +19,10 @@
 /// A class costs this share of its aim at first, and its running mean moves so far with each answer.
 const COST: (f64, f64) = (0.2, 0.03);
 /// One answer counts for no more than so many times the present cost: else a jam would pass for work.
-const COST_EACH: f64 = 2.0;
+const COST_EACH: f64 = 3.0;
 /// Of the limit on spill, what routers whose own zone is well may use together, for groups without a fresh replica or
 /// room at home: while all zones are well, and while one is not and the rest is for those who lost theirs.
-const CALM_SPILL: (f64, f64) = (1.0, 0.45);
+const CALM_SPILL: (f64, f64) = (0.45, 0.45);
 /// A class that costs more than so many times the cheapest is not ordinary: many routers' narrow allowances leave it out.
 const ORDINARY: f64 = 3.0;
 /// What is kept under the limit for the spread of what requests cost.
--- a/tiers/tests/random.rs
+++ b/tiers/tests/random.rs
@@ -169,7 +169,7 @@
 #[test]
 fn new_rules_in_service_keep_what_was_learned() {
     // Danger: an operator who reloads in the middle of trouble would lift every penalty and fill every allowance.
-    let (lost, mut now) = (|n: &usize| n % 4 != 0, 1_000_000_000);
+    let (lost, mut now) = (|n: &usize| !n.is_multiple_of(4), 1_000_000_000);
     let all = |keep: fn(&usize) -> bool| {
         ListUpdate::Full((0..12).filter(keep).map(|n| entry(n, Listed::Serving, None)).collect())
     };
