Translated answers are written in one pass; a lab command measures what translation costs

Change: octal digits without formatting, rows written as they are read, plain answers passed on without a copy, the router's part of ids worded once, no labels read where no comment stands. `plovercove-lab translate` plays six ways against one router.

--- a/dialect/src/render.rs
+++ b/dialect/src/render.rs
@@ -3,7 +3,7 @@
 use crate::Version;
 use crate::cancel::CancelKey;
 use crate::values::Forms;
-use crate::wire::{self, Column, Malformed, Message, code, put, put_text};
+use crate::wire::{self, Column, Fields, Malformed, Message, code, put, put_text};
 
 /// What a client is spoken to with.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,9 +31,9 @@
 const OLD_FIELDS: &[u8] = b"SCMDHPpqWFLR";
 
 impl Speech {
-    /// Whether a reply goes on just as it came.
-    fn is_plain(&self) -> bool {
-        self.version != Version::V2 && self.forms == Forms::default()
+    /// Whether a reply goes on just as it came, so that nothing needs to be written anew.
+    pub fn passes(&self, messages: &[u8]) -> bool {
+        self.version != Version::V2 && self.forms == Forms::default() && self.only_known_fields(messages)
     }
 
     /// Appends a whole reply, given in messages of version 3 without ReadyForQuery.
@@ -41,7 +41,7 @@
     /// # Errors
     /// It cannot be said; nothing that was appended may be sent.
     pub fn reply(&self, messages: &[u8], out: &mut Vec<u8>) -> Result<(), Unsayable> {
-        if self.is_plain() && !messages.is_empty() && self.only_known_fields(messages) {
+        if self.passes(messages) {
             out.extend_from_slice(messages);
             return Ok(());
         }
@@ -111,43 +111,44 @@
             out.extend_from_slice(message.raw);
             return Ok(());
         }
-        let values = wire::row(message.body)?;
-        if values.len() != columns.len() {
+        let mut fields = Fields(message.body);
+        if usize::try_from(fields.int16()?) != Ok(columns.len()) {
             return Err(Malformed.into());
         }
-        let mut said = Vec::with_capacity(values.len());
-        for (column, value) in columns.iter().zip(&values) {
-            let new =
-                value.filter(|_| !column.binary).and_then(|value| self.forms.rewrite(column.kind, value));
-            said.push((new, *value));
-        }
-        let texts = || said.iter().map(|(new, old)| new.as_deref().or(*old));
-        if !v2 {
-            put(out, b'D', |out| {
-                out.extend_from_slice(&(said.len() as u16).to_be_bytes());
-                for text in texts() {
-                    out.extend_from_slice(&text.map_or(-1, |t| t.len() as i32).to_be_bytes());
-                    out.extend_from_slice(text.unwrap_or_default());
-                }
-            });
-            return Ok(());
-        }
         // 2.0 has one form for a whole row: `D` for texts, whose lengths count themselves, and `B` for binary values.
         let binary = columns.iter().filter(|column| column.binary).count();
-        if binary != 0 && binary != columns.len() {
+        if v2 && binary != 0 && binary != columns.len() {
             return Err(Unsayable("the answer mixes texts and binary values, which version 2.0 cannot"));
         }
-        let (kind, more) = if binary > 0 { (b'B', 0) } else { (b'D', 4) };
-        out.push(kind);
-        let mut bits = vec![0u8; said.len().div_ceil(8)];
-        for (n, text) in texts().enumerate() {
-            bits[n / 8] |= u8::from(text.is_some()) << (7 - n % 8);
-        }
-        out.extend_from_slice(&bits);
-        for text in texts().flatten() {
+        let more = if v2 && binary == 0 { 4 } else { 0 };
+        let start = out.len();
+        if v2 {
+            out.push(if binary > 0 { b'B' } else { b'D' });
+            out.resize(start + 1 + columns.len().div_ceil(8), 0);
+        } else {
+            out.extend_from_slice(&[b'D', 0, 0, 0, 0]);
+            out.extend_from_slice(&(columns.len() as u16).to_be_bytes());
+        }
+        for (n, column) in columns.iter().enumerate() {
+            let Some(value) = fields.value()? else {
+                if !v2 {
+                    out.extend_from_slice(&(-1i32).to_be_bytes());
+                }
+                continue;
+            };
+            if v2 {
+                out[start + 1 + n / 8] |= 0x80 >> (n % 8);
+            }
+            let new = if column.binary { None } else { self.forms.rewrite(column.kind, value) };
+            let text = new.as_deref().unwrap_or(value);
             out.extend_from_slice(&(text.len() as u32 + more).to_be_bytes());
             out.extend_from_slice(text);
         }
+        fields.end()?;
+        if !v2 {
+            let length = (out.len() - start - 1) as u32;
+            out[start + 1..start + 5].copy_from_slice(&length.to_be_bytes());
+        }
         Ok(())
     }
 
--- a/dialect/src/values.rs
+++ b/dialect/src/values.rs
@@ -116,14 +116,21 @@
 /// From hex to escapes: zero, bytes over 126 and under 32 in octal, the backslash twice.
 fn escape(value: &[u8]) -> Option<Vec<u8>> {
     let digits = value.strip_prefix(b"\\x").filter(|digits| digits.len() % 2 == 0)?;
-    let digit = |byte: u8| (byte as char).to_digit(16);
-    let mut out = Vec::with_capacity(digits.len());
+    let digit = |byte: u8| match byte {
+        b'0'..=b'9' => Some(byte - b'0'),
+        b'a'..=b'f' => Some(byte - b'a' + 10),
+        b'A'..=b'F' => Some(byte - b'A' + 10),
+        _ => None,
+    };
+    let mut out = Vec::with_capacity(digits.len() * 2);
     for pair in digits.chunks_exact(2) {
-        let byte = (digit(pair[0])? << 4 | digit(pair[1])?) as u8;
+        let byte = digit(pair[0])? << 4 | digit(pair[1])?;
         match byte {
             b'\\' => out.extend_from_slice(b"\\\\"),
             0x20..=0x7e => out.push(byte),
-            _ => out.extend_from_slice(format!("\\{byte:03o}").as_bytes()),
+            _ => {
+                out.extend_from_slice(&[b'\\', b'0' + (byte >> 6), b'0' + (byte >> 3 & 7), b'0' + (byte & 7)])
+            }
         }
     }
     Some(out)
--- a/lab/src/cost.rs
+++ b/lab/src/cost.rs
@@ -116,7 +116,7 @@
         }
     });
     let until = Instant::now() + STARTS;
-    let mut next = || {
+    let next = || {
         let left = until.saturating_duration_since(Instant::now());
         told.recv_timeout(left).map_err(|_| "the router does not start".to_string())
     };
--- a/router/src/front/pg.rs
+++ b/router/src/front/pg.rs
@@ -242,6 +242,7 @@
     entries: Vec<Entry>,
     /// The router's own secret, and the ids that it made.
     secret: [u8; 32],
+    own: u64,
     made: u64,
     /// Cancels that were asked for.
     wanted: Vec<(usize, CancelKey)>,
@@ -251,8 +252,7 @@
     /// An id for a request that came without one: no other router makes the same.
     fn id(&mut self) -> String {
         self.made += 1;
-        let own: String = self.secret[..8].iter().map(|byte| format!("{byte:02x}")).collect();
-        format!("{own}-{:x}", self.made)
+        format!("{:016x}-{:x}", self.own, self.made)
     }
 }
 
@@ -293,6 +293,7 @@
                 budget: budget.clone(),
                 entries: Vec::new(),
                 secret: random(),
+                own: u64::from_be_bytes(random()),
                 made: 0,
                 wanted: Vec::new(),
             },
@@ -549,7 +550,7 @@
             client.wrote = Some(now);
         }
         let (speech, named) = (client.speech(), self.words.entries[client.entry].terms.defaults.is_some());
-        if !named {
+        if !named || speech.passes(&reply) {
             return self.answer(origin, request, reply, Speech::ready);
         }
         let mut said = self.words.budget.buffer();
@@ -887,7 +888,6 @@
     fn label(words: &mut Words, client: &mut Client, text: &str) -> Option<String> {
         let kind = statement::kind(text);
         let speech = client.speech();
-        let defaults = words.entries[client.entry].terms.defaults.clone()?;
         match kind {
             Kind::Empty => client.say(words, |out| {
                 speech.empty(out);
@@ -911,8 +911,9 @@
             }
             Kind::Reads | Kind::Writes => {
                 let id = words.id();
-                let reads = kind == Kind::Reads;
-                return Some(entry::labelled(text, &defaults, reads, &id, client.session.timeout_ms));
+                let (reads, patience) = (kind == Kind::Reads, client.session.timeout_ms);
+                let defaults = words.entries[client.entry].terms.defaults.as_ref()?;
+                return Some(entry::labelled(text, defaults, reads, &id, patience));
             }
         }
         None
@@ -920,7 +921,7 @@
 
     fn query(words: &mut Words, client: &mut Client, key: Key, text: &str, now: Time, core: &mut Core) {
         let named = words.entries[client.entry].terms.defaults.is_some();
-        if named && pgwire::labels(text).is_err() {
+        if named && !(text.trim_start().starts_with("/*") && pgwire::labels(text).is_ok()) {
             if let Some(text) = Self::label(words, client, text) {
                 Self::ask(words, client, key, &text, now, core);
             }
