--- a/router/src/operators.rs
+++ b/router/src/operators.rs
@@ -343,6 +343,84 @@
         assert!(Operators::default().tiers(&at("a"), 1).is_ok_and(|t| t.is_none()));
     }
 
+    const FRONT: &str = "fronts = [{\n  \"name\": \"old\", \"listen\": \"127.0.0.1:0\", \"methods\": [\"md5\"],\n  \"credentials\": \"USERS\",\n  \"reads\": \"look\", \"writes\": \"book\", \"group\": 2,\n}]\n";
+
+    /// A file of secrets with this mode.
+    fn secrets(name: &str, text: &str, mode: u32) -> PathBuf {
+        use std::os::unix::fs::PermissionsExt;
+        let path = std::env::temp_dir().join(format!("plovercove-{}-{name}.users", std::process::id()));
+        std::fs::write(&path, text).expect("a folder for temporary files");
+        std::fs::set_permissions(&path, std::fs::Permissions::from_mode(mode)).expect("its own file");
+        path
+    }
+
+    #[test]
+    fn files_of_secrets_that_others_can_read_are_refused_and_nothing_of_them_is_repeated() {
+        // Danger: a password in the log, or a file that every user of the machine may copy.
+        let good = "app md5f6d2ba4f1b0a1ee0e1c3c2c0e7a0b1c2\n";
+        for (name, text, mode, want) in [
+            ("good", good, 0o600, ""),
+            ("group", good, 0o640, "its mode must be 600"),
+            ("others", good, 0o604, "its mode must be 600"),
+            ("plain", "app hunter2\n", 0o600, "line 1: expected md5"),
+        ] {
+            let users = secrets(name, text, mode);
+            let said = read(&format!("front-{name}"), &FRONT.replace("USERS", &users.display().to_string()));
+            std::fs::remove_file(&users).expect("just written");
+            match said {
+                Ok(told) => assert!(want.is_empty() && told.fronts.len() == 1, "{name}"),
+                Err(said) => {
+                    assert!(!want.is_empty() && said.contains(want), "{name}: {said}");
+                    assert!(said.contains("fronts[0].credentials") && !said.contains("hunter2"), "{said}");
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn a_front_that_cannot_serve_is_refused_before_it_listens() {
+        let users = secrets("front", "app md5f6d2ba4f1b0a1ee0e1c3c2c0e7a0b1c2\n", 0o600);
+        let front = FRONT.replace("USERS", &users.display().to_string());
+        for (name, from, to, want) in [
+            ("trust", "[\"md5\"]", "[\"trust\", \"md5\"]", "fronts[0].methods: with trust"),
+            ("none", "[\"md5\"]", "[]", "fronts[0].methods: expected"),
+            ("method", "[\"md5\"]", "[\"kerberos\"]", "unknown variant `kerberos`"),
+            ("listen", "127.0.0.1:0", "nowhere", "fronts[0].listen"),
+            ("style", "\"group\": 2", "\"group\": 2, \"date_style\": \"Mars\"", "fronts[0].date_style"),
+            (
+                "logins",
+                "\"group\": 2",
+                "\"group\": 2, \"logins\": {\"address\": 0}",
+                "fronts[0].logins.address",
+            ),
+        ] {
+            let said = read(&format!("front-{name}"), &front.replace(from, to)).expect_err(want);
+            assert!(said.contains(want), "{said} instead of {want}");
+        }
+        let told = read("front-class", &front).unwrap_or_else(|e| panic!("{e}"));
+        let nothing = Path::new("operators.star");
+        let said = told.fronts(nothing, Some(&Settings::default())).map(|_| ()).expect_err("no such class");
+        assert!(said.contains("fronts[0].reads: class \"look\" does not exist"), "{said}");
+        let twice = Operators { fronts: [told.fronts.clone(), told.fronts].concat(), ..Operators::default() };
+        assert!(twice.fronts(nothing, None).is_err_and(|e| e.contains("another front has it too")));
+        std::fs::remove_file(&users).expect("just written");
+        let newer = Operators::manners(
+            &Operators {
+                servers: Some(Servers {
+                    user: "u".into(),
+                    database: "d".into(),
+                    password_file: None,
+                    clear_text: false,
+                    version: Version::V2,
+                    cancel: false,
+                }),
+                ..Operators::default()
+            },
+            nothing,
+        );
+        assert!(newer.is_err_and(|e| e.contains("servers.version")));
+    }
+
     #[test]
     fn what_is_wrong_is_named_with_line_and_key() {
         for (name, from, to, want) in [
