--- a/router/tests/translator.rs
+++ b/router/tests/translator.rs
@@ -36,7 +36,12 @@
 
 impl Router {
     /// A router with a front for old clients and one for drivers of today, before one server.
-    fn start(name: &str, server: &Server, more: &str) -> Self {
+    fn start(name: &str, server: &Server) -> Self {
+        Self::between(name, server, server, "look")
+    }
+
+    /// The same, with a primary and a replica, and the class of reads.
+    fn between(name: &str, server: &Server, replica: &Server, reads: &str) -> Self {
         let folder = std::env::temp_dir().join(format!("plovercove-{}-{name}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder for temporary files");
         let write = |file: &str, text: &str| {
@@ -48,7 +53,7 @@
         let config = include_str!("exchanges/config.json")
             .replace("{agent}", "127.0.0.1:9")
             .replace("{p}", &server.address().to_string())
-            .replace("{r}", &server.address().to_string());
+            .replace("{r}", &replica.address().to_string());
         let config = write("config.json", &config);
         // md5("old but true" + "app"), and SCRAM of the same with the salt `salt for testing`.
         write("users", USERS);
@@ -57,7 +62,7 @@
             "operators.star",
             &format!(
                 r#"
-_front = {{"listen": "127.0.0.1:0", "credentials": "users", "reads": "look", "writes": "book", "tenant": "acme", "group": 2}}
+_front = {{"listen": "127.0.0.1:0", "credentials": "users", "reads": "{reads}", "writes": "book", "tenant": "acme", "group": 2}}
 def _with(more):
     return dict(_front, **more)
 fronts = [
@@ -65,7 +70,7 @@
     _with({{"name": "new", "methods": ["scram"], "versions": ["3.0", "3.2"]}}),
 ]
 servers = {{"user": "{USER}", "database": "trips", "password_file": "password", "clear_text": True, "version": "3.2", "cancel": True}}
-{more}"#
+"#
             ),
         );
         let mut child = Command::new(env!("CARGO_BIN_EXE_plovercove"))
@@ -308,7 +313,7 @@
         Answer::of(mine[number].bytes.clone())
     };
     let server = Server::start(Gate::Scram, 2, script).expect("a server");
-    let router = Router::start("walk", &server, "");
+    let router = Router::start("walk", &server);
     for two in [true, false] {
         for (number, case) in cases.iter().enumerate() {
             // A client for each: an answer that is out of step must not be laid at the next one's door.
@@ -345,12 +350,12 @@
         [(Gate::Trust, 0), (Gate::Clear, 2), (Gate::Md5, 2), (Gate::Scram, 2), (Gate::Scram, 0)]
     {
         let server = Server::start(gate, minor, |_| Answer::of(served(&[b"v"]))).expect("a server");
-        let router = Router::start(&format!("gate-{gate:?}-{minor}"), &server, "");
+        let router = Router::start(&format!("gate-{gate:?}-{minor}"), &server);
         let heard = patiently(&mut router.client(true), "SELECT 1");
         assert!(heard.contains(&Heard::Row(vec![Some(b"v".to_vec())])), "{gate:?} {minor}: {heard:?}");
         assert!(!router.log().contains(PASSWORD), "a secret in the log");
     }
-    let router = Router::start("gate-none", &server, "");
+    let router = Router::start("gate-none", &server);
     for (gate, word) in [
         (Gate::Other(2), "Kerberos"),
         (Gate::Other(7), "GSSAPI"),
@@ -379,7 +384,7 @@
         _ => Answer::of(served(&[b"v"])),
     })
     .expect("a server");
-    let router = Router::start("client", &server, "");
+    let router = Router::start("client", &server);
     let mut walked = vec!["StartupMessage", "StartupPacket", "PasswordMessage", "PasswordPacket", "Query"];
     let unsupported = |heard: Vec<Heard>, name: &str| {
         assert!(
@@ -523,7 +528,7 @@
         Answer { bytes, then }
     };
     let server = Server::start(Gate::Scram, 2, script).expect("a server");
-    let router = Router::start("booking", &server, "");
+    let router = Router::start("booking", &server);
     let mut made = 0;
     for two in [true, false] {
         let mut client = router.client(two);
@@ -559,7 +564,7 @@
         Answer::of([columns(&[("day", 1082)]), rows, complete("SELECT 1"), ready(b'I')].concat())
     })
     .expect("a server");
-    let router = Router::start("session", &server, "");
+    let router = Router::start("session", &server);
     let (mut client, told) = Old::connect(router.old, false, "app", APP).expect("let in");
     assert!(told.contains(&Heard::Status("server_version".into(), "8.4.22".into())), "{told:?}");
     let mut other = router.client(false);
@@ -588,7 +593,7 @@
 #[test]
 fn guesses_of_passwords_cost_only_those_who_guess() {
     let server = Server::start(Gate::Trust, 0, |_| Answer::of(served(&[b"v"]))).expect("a server");
-    let router = Router::start("guesses", &server, "");
+    let router = Router::start("guesses", &server);
     let fails =
         |user: &str| Old::connect(router.old, true, user, "guess").err().expect("not let in").to_string();
     let mut client = router.client(true);
@@ -621,7 +626,7 @@
 fn a_login_that_stops_anywhere_ends_within_its_deadline() {
     // Danger: clients that say half of it would hold places for as long as they like.
     let server = Server::start(Gate::Trust, 0, |_| Answer::of(served(&[b"v"]))).expect("a server");
-    let router = Router::start("stops", &server, "");
+    let router = Router::start("stops", &server);
     let start = b"\0\0\0\x21\0\x03\0\0user\0app\0database\0trips\0\0".to_vec();
     let mut old = vec![0u8; 296];
     old[..8].copy_from_slice(b"\0\0\x01\x28\0\x02\0\0");
@@ -642,3 +647,28 @@
     }
     assert!(begun.elapsed() >= Duration::from_secs(1), "they were given time");
 }
+
+#[test]
+fn a_session_without_labels_sees_its_own_write_and_no_other_session_is_held_to_it() {
+    // Danger: a rider books, asks for the booking, and a replica that is behind says that there is none.
+    let primary = Server::start(Gate::Trust, 0, |_| Answer::of(served(&[b"new"]))).expect("a server");
+    let behind = |_: &str| {
+        let told = [&b"replication_role\0standby\0"[..], b"log_position\x001767225600123\0"];
+        let told = told.map(|body| message(b'S', body)).concat();
+        let whole = served(&[b"old"]);
+        Answer::of([&whole[..whole.len() - 6], &told, &ready(b'I')].concat())
+    };
+    let replica = Server::start(Gate::Trust, 0, behind).expect("a server");
+    let router = Router::between("own-write", &primary, &replica, "mine");
+    let (mut rider, mut other) = (router.client(true), router.client(false));
+    let read = |client: &mut Old| {
+        let heard = patiently(client, "SELECT body FROM seats");
+        let row = heard.into_iter().find_map(|h| if let Heard::Row(row) = h { row[0].clone() } else { None });
+        String::from_utf8(row.expect("a row")).expect("text")
+    };
+    assert_eq!(read(&mut other), "old", "nothing was written: any replica will do");
+    assert_eq!(read(&mut rider), "old");
+    patiently(&mut rider, "INSERT INTO seats VALUES (17)");
+    assert_eq!(read(&mut rider), "new", "its own booking");
+    assert_eq!(read(&mut other), "old", "another session is not held to it");
+}
