Each router asks never-probed replicas in an order of its own

Lines at fault: Balancer::read and scout take the replica probed longest ago; at the start all tie and BTreeMap order is the order of every router. A replica that is asked is then the only one known fresh for 3 s, so the fleet's reads follow. Change: ties are broken by a hash of the node's name and the router's number. Test: routers_do_not_all_ask_the_same_replica_first; without the change 500 of 500 ask the same one.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -118,6 +118,7 @@
     probed: Time, // when it was last probed, and when a probe of it last ended
     told: Time,
     linked: bool,        // a connection to it is open, as far as this router can tell
+    rank: u64,           // its place in this router's own order: a hash of both, so that orders differ
     counts: Option<f64>, // how much of its weight counts for the request that is being placed
 }
 
@@ -206,8 +207,7 @@
                 }
                 Event::Abandoned { request } => self.left(request),
                 Event::Probed { node, answered: true, report } => self.learn(&node, report, false, actions),
-                // Routers share nothing: what a peer says is not followed.
-                Event::Timer | Event::Probed { .. } | Event::Peer { .. } => {}
+                Event::Timer | Event::Probed { .. } | Event::Peer { .. } => {} // peers are not followed
             }
         }
         self.settle(actions);
@@ -258,7 +258,8 @@
         let (now, id) = (self.now, entry.node.clone());
         let limit = LIMIT.0 / f64::from(self.cfg.routers.max(1));
         let known = self.nodes.contains_key(&id);
-        let node = self.nodes.entry(id.clone()).or_insert_with(|| Node { heard: now, ..Node::default() });
+        let new = Node { heard: now, rank: rank(&id, self.cfg.index), ..Node::default() };
+        let node = self.nodes.entry(id.clone()).or_insert(new);
         if !known || entry.started > node.entry.started {
             node.restart(limit, now);
         }
@@ -523,7 +524,8 @@
         let far = |n: &&Node| n.counts.is_some_and(|counts| counts < 1.0);
         let needed = fresh.iter().all(far) || self.cfg.replica_check != ReplicaCheck::None || !self.thin;
         let ask = behind.into_iter().filter(|n| needed && self.worth_asking(n));
-        let ask = ask.min_by_key(|n| (far(n), n.probed));
+        // Danger: those never asked tie, and in one common order all routers would crowd on the same node.
+        let ask = ask.min_by_key(|n| (far(n), n.probed, n.rank));
         // Danger: spread over all replicas, long reads keep the log from being applied anywhere.
         let loose = self.cfg.classes[r.what.class].access == Access::Any;
         let old = |n: &Node| self.now.saturating_sub(n.position) > self.old;
@@ -574,7 +576,7 @@
     /// With no primary known one write at a time asks the members, most advanced first; a miss never ran.
     fn scout<'a>(&self, r: &Request, all: &[&'a Node]) -> (Option<&'a Node>, Option<&'a Node>) {
         let lost = all.iter().filter(|n| n.closed.is_none() && !n.suspect && self.worth_asking(n));
-        let ask = lost.min_by_key(|n| n.probed).copied();
+        let ask = lost.min_by_key(|n| (n.probed, n.rank)).copied();
         let scouting = |n: &&Node| n.out.keys().any(|(q, _)| self.is_write(*q));
         if all.iter().any(scouting) && r.attempts.iter().all(|a| a.fate != Fate::Out) {
             return (None, ask);
@@ -939,6 +941,13 @@
     }
 }
 
+/// A node's place in the order of the router with this number (FNV-1a, then mixed).
+fn rank(id: &str, router: u32) -> u64 {
+    let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
+    let hash = router.to_le_bytes().into_iter().chain(id.bytes()).fold(0xcbf2_9ce4_8422_2325, step);
+    (hash ^ (hash >> 32)).wrapping_mul(0x9e37_79b9_7f4a_7c15)
+}
+
 fn ask(cfg: &Settings, r: &Request) -> Ask {
     let (request, class) = (r.what.id, r.what.class);
     Ask { request, class, write: cfg.classes[class].access == Access::Write }
--- a/tests/growth.rs
+++ b/tests/growth.rs
@@ -111,6 +111,29 @@
     assert_eq!(asked, 0);
 }
 
+#[test]
+fn routers_do_not_all_ask_the_same_replica_first() {
+    // Danger: none had been asked yet, so all tied and each of 100 routers asked the first by name. All of them then
+    // knew that one to be fresh, and no other: the reads of the whole fleet went there, until it answered none in time.
+    let cfg = |index| Settings {
+        index,
+        may_probe: true,
+        reports: ReportSource::Probes,
+        replica_check: ReplicaCheck::None,
+        ..crowd()
+    };
+    let replicas: Vec<NodeEntry> = (0..5).map(|n| entry(&format!("r{n}"), false)).collect();
+    let mut asked = [0; 5];
+    for index in 0..500 {
+        let mut rig = Rig::with(cfg(index), replicas.clone());
+        rig.request(demand(1, BOUNDED));
+        for (place, node) in replicas.iter().enumerate() {
+            asked[place] += rig.actions.iter().filter(|a| **a == Action::Probe(node.node.clone())).count();
+        }
+    }
+    assert!(asked.iter().all(|n| (60..=140).contains(n)), "100 each, give or take chance: {asked:?}");
+}
+
 #[test]
 fn a_read_that_needs_proof_waits_for_the_one_it_asked() {
     let cfg = Settings {
