Replicas that fail do not rest after all; a needless borrow goes

The errors of a failing replica cost 2 ms each and it still serves a fifth; resting it sends its reads to full ones.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -505,8 +505,7 @@
         let good = |n: &&Node| {
             !far(n) && self.usable(n) && (self.others(n) + 1.0) / self.weight(n) <= CROWDED * usual
         };
-        let needed =
-            !self.thin || self.cfg.replica_check != ReplicaCheck::None || !fresh.iter().any(|n| good(&n));
+        let needed = !self.thin || self.cfg.replica_check != ReplicaCheck::None || !fresh.iter().any(good);
         let ask = behind.into_iter().filter(|n| needed && self.worth_asking(n));
         // Danger: those never asked tie, and in one common order all routers would crowd on the same node.
         let ask = ask.min_by_key(|n| (far(n), n.probed, n.rank));
@@ -711,7 +710,6 @@
         (ending, elapsed): (Ending, Span), actions: &mut Vec<Action>,
     ) {
         let now = self.now;
-        let head = self.nodes.get(id).is_some_and(|n| self.primary(n.entry.group) == Some(id));
         let Some(node) = self.nodes.get_mut(id) else { return };
         let charged = node.out.remove(&attempt).map_or(1.0, |(_, _, mean)| mean.max(1.0));
         let (waited, mean) = (elapsed as f64, &mut self.classes[class].latency);
@@ -719,8 +717,6 @@
             node.heal(now, actions);
         }
         match ending {
-            // Danger: a node that fails at once looks idle and quick, and draws the reads of all routers.
-            Ending::Failure if self.thin && !write && !head => node.full_until = now + TRIAL.1,
             Ending::Missed if write => node.denied = Some(now),
             Ending::Overloaded => node.full_until = now + FULL_PAUSE,
             Ending::TimedOut | Ending::Broken | Ending::Unreachable if node.suspect => node.wait_on(now),
