Failed calls of discovery back off at random; a router asks for changes to the list it knows

Seen (logs of all routers, a line a call): discovery refuses all watches with 503 from 0.03 s on, and every router asked for the whole list again every 100 ms, 9.4 calls a second each; in 25 s only 2 routers got an answer again, 13 or 14 s late. Ruled out: the network code's reading of answers (an answer that comes is taken in), cold nodes (never sent to). Lines at fault: Discovery::failed (PAUSE 100 ms, index thrown away), Router::new (the version of the known list unused), PATIENCE of 2 s: 42 calls in 11 s were broken off while they waited in line. Change: pauses from 1 s doubling to 8 s, each drawn from its upper half by the router's seed (core/src/backoff.rs); after a failure, and at the start, only what is newer than the known version is asked for; an answer is waited for 5 s.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -2,10 +2,12 @@
 //! decide and holds the rules that no decision may break. The same code runs under the router's loop and under the
 //! virtual time of the `fleet` model.
 
+mod backoff;
 mod core;
 mod deadlines;
 mod table;
 
+pub use crate::backoff::*;
 pub use crate::core::*;
 pub use crate::deadlines::*;
 pub use crate::table::*;
--- a/router/src/discovery.rs
+++ b/router/src/discovery.rs
@@ -8,7 +8,7 @@
 use crate::net::stream::{Peer, Stream};
 use crate::net::{Source, begin_connect, poll_key};
 use plovercove::{Listed, NodeEntry, Time};
-use plovercove_core::{Core, Due};
+use plovercove_core::{Backoff, Core, Due};
 use plovercove_poller::{Interest, Poll};
 use plovercove_settings::{Fault, Part, Read, Value, flag, list, number, parse, text, whole};
 use std::io;
@@ -17,10 +17,12 @@
 
 /// How long a watch waits for news at the agent.
 const WATCH_MS: u64 = 20_000;
-/// How much longer than it should take an answer is waited for.
-const PATIENCE: Time = 2_000_000;
-/// The pause after a failed call.
-const PAUSE: Time = 100_000;
+/// How much longer than it should take an answer is waited for. Calls wait in turn at an overbooked service; one that is
+/// broken off there has been answered for nothing, and its repeat goes to the end of the line.
+const PATIENCE: Time = 5_000_000;
+/// The pause after a failed call, and the longest after several in a row. All routers' calls meet at one service, which
+/// fails for all at once; the longest stays near the time after which a router counts as told of what it could not hear.
+const PAUSES: (Time, Time) = (1_000_000, 8_000_000);
 /// The longest answer.
 const LONGEST: usize = 8 * 1024 * 1024;
 
@@ -79,12 +81,14 @@
     index: Option<u64>,
     deadline: Option<Time>,
     failing: bool,
+    backoff: Backoff,
 }
 
 impl Discovery {
-    /// A watch that has not begun.
-    pub fn new(poll: &Poll, agent: SocketAddr) -> Self {
-        Discovery { poll: poll.clone(), agent, stream: None, index: None, deadline: None, failing: false }
+    /// A watch that has not begun, from this version of the list on, if one is known.
+    pub fn new(poll: &Poll, agent: SocketAddr, index: Option<u64>, seed: u64) -> Self {
+        let backoff = Backoff::new(PAUSES.0, PAUSES.1, seed);
+        Discovery { poll: poll.clone(), agent, stream: None, index, deadline: None, failing: false, backoff }
     }
 
     /// Makes the first call.
@@ -137,14 +141,15 @@
         }
     }
 
-    /// The call failed: the list stays, and the next call asks for the whole of it.
+    /// The call failed: the list stays, and the next call asks for news of it, which costs less than the whole.
     fn failed(&mut self, cause: &str, now: Time, core: &mut Core) {
         if !std::mem::replace(&mut self.failing, true) {
             warn!("discovery: {cause}; the list stays as it is");
         }
         self.stream = None;
-        self.index = None;
-        self.set_deadline(now + PAUSE, core);
+        let at = self.backoff.failed(now);
+        debug!(cause, pause = at - now, "a call of discovery failed");
+        self.set_deadline(at, core);
     }
 
     /// Its deadline is over: a pause, or an answer that has not come.
@@ -179,6 +184,7 @@
                                 info!("discovery answers again");
                             }
                             debug!(index = listing.index, entries = listing.entries.len(), "list");
+                            self.backoff.answered();
                             self.index = Some(listing.index);
                             found.push(listing);
                             if peer != Peer::Open {
@@ -186,7 +192,11 @@
                             }
                             self.call(now, core);
                         }
-                        Err(fault) => self.failed(&fault.to_string(), now, core),
+                        Err(fault) => {
+                            // What could not be read may have held news: it is asked for whole.
+                            self.index = None;
+                            self.failed(&fault.to_string(), now, core);
+                        }
                     }
                 }
                 Err(cause) => self.failed(&cause, now, core),
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -53,6 +53,8 @@
         let (settings, budget) = (config.settings, Budget::new(config.buffered));
         let longest = settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
         let names = Names::of(&settings);
+        // What is known is of some version: only what came after it is asked for, a few lines instead of all of them.
+        let index = Some(config.known.index).filter(|_| !config.known.entries.is_empty());
         let mut router = Router {
             clock: Clock::default(),
             signals,
@@ -65,7 +67,7 @@
                 settings.connect_timeout,
                 settings.connection_idle,
             ),
-            discovery: Discovery::new(&poll, config.discovery),
+            discovery: Discovery::new(&poll, config.discovery, index, config.seed),
             core: match tiers {
                 Some(tiers) => Core::new(settings, config.seed).zoned(Box::new(tiers)),
                 None => Core::new(settings, config.seed),
