Cold nodes take a share that grows with the replicas to choose from, and more of the writes

Ruled out: freshness (they are proved, 19 to 37 probes each), connection tables (0 refused), the list (all have it). Lines at fault: Balancer::admitted asks chance once with the warm share times 0.6, as if one cold node had to take the whole request stream; with five of them in a group 0.09 to 0.3 of the requests went anywhere at all. For writes likewise. Change: that chance counts once for each fresh replica that the request may choose from; for writes, which fill but half of a warm primary and have one place to go, three times. What all routers send a cold node stays in proportion to its share. Test: a_fleet_of_cold_nodes_takes_its_share_all_together, seen to fail without it.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -40,6 +40,7 @@
 const PROBE_HOLD: Span = 20_000; // a read waits so long for the report that may prove a replica fresh
 const UNSURE: Span = 1_000_000; // what a node said of its position is held for its present lag so long
 const COLD_USE: f64 = 0.6; // of what a warm node would get, a cold one gets its warm share times this
+const COLD_WRITES: f64 = 3.0; // ... and so many times that of writes, which fill but half of a warm primary
 const LEAVING: (f64, Span) = (0.2, 3_000_000); // share of clients that leave early, and how long that counts
 const HELD_FADE: f64 = 2e6; // what a node said it holds fades towards the mean with this time constant
 const CROWDED: f64 = 2.0; // a node that is so many times as loaded as the mean makes another worth asking
@@ -391,7 +392,7 @@
 
     /// Whether a node would answer in time, as far as hundreds of routers can tell that send it a request each,
     /// and whether chance lets this one through to a cold node, which falls over when pushed.
-    fn admitted(&self, r: &Request, node: &Node) -> bool {
+    fn admitted(&self, r: &Request, node: &Node, peers: f64) -> bool {
         let class = &self.cfg.classes[r.what.class];
         // Danger: what a full queue takes in is late, runs on all the same, and its client comes back for more.
         let crowd = (self.others(node) / self.cores).max(1.0) * node.slowness(self.now).max(1.0);
@@ -400,7 +401,7 @@
         let warm = self.warm_share(node);
         // Danger: a cold node's refusals were sent to it over and over, which counts towards pushing it over.
         // Where zones count, each cold node has an allowance of its own.
-        let lucky = self.zoning.is_some() || r.luck <= (warm * COLD_USE).ln();
+        let lucky = self.zoning.is_some() || r.luck <= (warm * COLD_USE * peers).ln();
         open && (warm >= 1.0 || (r.at(node).next().is_none() && lucky))
     }
 
@@ -469,7 +470,10 @@
         let access = self.cfg.classes[r.what.class].access;
         let may = |n: &&Node| (self.zoning.is_none() || n.counts.is_some()) && self.may_send(r, n);
         let members = group.members.iter().filter_map(|m| self.nodes.get(m)).filter(may);
-        let (all, kept): (Vec<&Node>, Vec<&Node>) = members.partition(|n| self.admitted(r, n));
+        let able = |n: &&Node| n.closed.is_none() && !n.suspect && self.fresh(self.now, n, r);
+        let write = access == Access::Write;
+        let peers = if write { COLD_WRITES } else { members.clone().filter(able).count().max(1) as f64 };
+        let (all, kept): (Vec<&Node>, Vec<&Node>) = members.clone().partition(|n| self.admitted(r, n, peers));
         let wanted = |n: &&Node| (Some(&n.entry.node) == primary) == (access == Access::Write);
         let kept: Vec<NodeId> = kept.into_iter().filter(wanted).map(Node::id).collect();
         let head = all.iter().copied().find(|n| Some(&n.entry.node) == primary && self.usable(n));
--- a/tests/growth.rs
+++ b/tests/growth.rs
@@ -135,18 +135,37 @@
 fn a_cold_node_gets_its_share_from_all_routers_together() {
     // Danger: one send a window and router was let through; 450 routers pushed the node over (rule 4).
     let cold = NodeEntry { started: Some(T0), ..entry("r1", false) };
-    let mut sent = 0;
-    for index in 0..500 {
-        let mut balancer = Balancer::new(Settings { index, ..crowd() }, u64::from(index) * 7_919 + 3);
-        let list = Event::List(ListUpdate::Full(vec![cold.clone()]));
-        let mut actions = Vec::new();
-        balancer.handle(T0, vec![list, Event::Request(demand(1, ANY))], &mut actions);
-        sent += usize::from(actions.iter().any(|a| matches!(a, Action::Send { .. })));
-    }
+    let sent = sent_by_all(&[cold], ANY);
     // It starts at 0.2 of its capacity: 0.2 x 0.6 of 500 requests, give or take chance.
     assert!((30..=95).contains(&sent), "{sent} of 500 sent to a node that has just started");
 }
 
+/// How many of 500 routers send a request of this class to the fleet that they have just heard of.
+fn sent_by_all(entries: &[NodeEntry], class: usize) -> usize {
+    let sends = |index: u32| {
+        let mut balancer = Balancer::new(Settings { index, ..crowd() }, u64::from(index) * 7_919 + 3);
+        let list = Event::List(ListUpdate::Full(entries.to_vec()));
+        let mut actions = Vec::new();
+        balancer.handle(T0, vec![list, Event::Request(demand(1, class))], &mut actions);
+        actions.iter().any(|a| matches!(a, Action::Send { .. }))
+    };
+    (0..500).filter(|index| sends(*index)).count()
+}
+
+#[test]
+fn a_fleet_of_cold_nodes_takes_its_share_all_together() {
+    // Danger: each request asked chance once, as if one cold node had to take it. When six in ten nodes had been
+    // replaced, half of all requests were refused while the new nodes idled at a tenth of what they could do.
+    let cold = |name: &str, primary| NodeEntry { started: Some(T0), ..entry(name, primary) };
+    let five: Vec<NodeEntry> = (0..5).map(|n| cold(&format!("r{n}"), false)).collect();
+    let sent = sent_by_all(&five, ANY);
+    // 0.2 x 0.6 for each of five; one alone gets a fifth of that, as the test above says.
+    assert!((250..=350).contains(&sent), "{sent} of 500 for five cold replicas");
+    // Nobody else takes writes, and they are but a part of what a warm primary does: 0.2 x 0.6 x 3.
+    let sent = sent_by_all(&[cold("p", true)], KEYED);
+    assert!((140..=220).contains(&sent), "{sent} of 500 writes for a cold primary");
+}
+
 fn probes(rig: &Rig) -> usize {
     rig.actions.iter().filter(|a| matches!(a, Action::Probe(_))).count()
 }
