--- a/src/balance.rs
+++ b/src/balance.rs
@@ -44,6 +44,8 @@
 const LEAVING: (f64, Span) = (0.2, 3_000_000); // share of clients that leave early, and how long that counts
 const HELD_FADE: f64 = 2e6; // what a node said it holds fades towards the mean with this time constant
 const CROWDED: f64 = 2.0; // a node that is so many times as loaded as the mean makes another worth asking
+const WAIT: f64 = 1.5; // a wait may be so many times what is foreseen: work is spread, reports are 0.2 s old
+const GUEST: f64 = 1.6; // ... and for a read at the primary again: writes have no other place to go
 const HELD_GAIN: f64 = 0.2; // weight of a report in the mean of its group
 const BUSY: (f64, f64) = (0.2, 0.9); // reports of a node this busy tell its cores: idler ones are all noise
 const CORES: f64 = 4.0; // requests a node works on at once, until reports tell
@@ -396,7 +398,8 @@
         let class = &self.cfg.classes[r.what.class];
         // Danger: what a full queue takes in is late, runs on all the same, and its client comes back for more.
         let crowd = (self.others(node) / self.cores).max(1.0) * node.slowness(self.now).max(1.0);
-        let wait = FIRST_LATENCY * class.aim as f64 * crowd;
+        let guest = class.access != Access::Write && self.primary(r.what.group) == Some(&node.entry.node);
+        let wait = FIRST_LATENCY * class.aim as f64 * crowd * WAIT * if guest { GUEST } else { 1.0 };
         let open = !self.thin || self.now as f64 + wait <= self.aim_end(r).min(r.due as f64);
         let warm = self.warm_share(node);
         // Danger: a cold node's refusals were sent to it over and over, which counts towards pushing it over.
--- a/tests/growth.rs
+++ b/tests/growth.rs
@@ -120,6 +120,18 @@
     assert!(old.request(demand(1, ANY)).is_some());
 }
 
+#[test]
+fn reads_give_way_to_writes_at_a_primary_that_slows_down() {
+    // Danger: reads without a proved replica crowded on primaries, where writes waited a second behind them.
+    let mut rig = Rig::with(reporting(), vec![entry("p", true)]);
+    for id in 1..=3 {
+        assert!(rig.request(demand(id, KEYED)).is_some());
+        ends_after(&mut rig, id, Ending::Success, 200 * MS);
+    }
+    assert_eq!(rig.request(demand(4, BOUNDED)), None);
+    assert_eq!(rig.request(demand(5, KEYED)).as_deref(), Some("p"));
+}
+
 #[test]
 fn another_replica_is_asked_when_the_fresh_one_is_crowded() {
     // Danger: the one replica that was proved fresh got all reads for seconds, however full it was.
