--- a/src/balance.rs
+++ b/src/balance.rs
@@ -16,7 +16,7 @@
 const LONG: f64 = 4.0; // a class that takes so many times the least of all is long: it may hold the log up
 const GAIN: f64 = 0.1; // weight of a new sample in running means: some ten samples of memory
 const FIRST_LATENCY: f64 = 0.3; // first guess of a class's latency as a share of its aim
-const SLOW_GAIN: f64 = 0.25; // weight of a sample of a node's slowness where routers are many: samples are few
+const SLOW_GAIN: f64 = 0.25; // weight of a sample of slowness where routers are many: samples are few
 const FULL_SLOW: f64 = 5.0; // how slow a node counts that turned work away: past what any aim allows
 const SLOW_RANGE: (f64, f64) = (0.5, 12.0); // bounds of slowness: one sample can't banish a node
 const SLOW_FADE: f64 = 8e6; // slowness fades towards 1 with this time constant: nodes are tried again
@@ -392,11 +392,10 @@
         (self.cfg.cold_share + (1.0 - self.cfg.cold_share) * age).clamp(0.01, 1.0)
     }
 
-    /// Whether a node would answer in time, as far as hundreds of routers can tell that send it a request each,
-    /// and whether chance lets this one through to a cold node, which falls over when pushed.
+    /// Whether a node would answer in time, as far as each of hundreds of routers can tell, and whether chance lets this one through to a cold node, which falls over when pushed.
     fn admitted(&self, r: &Request, node: &Node, peers: f64) -> bool {
         let class = &self.cfg.classes[r.what.class];
-        // Danger: what a full queue takes in is late, runs on all the same, and its client comes back for more.
+        // Danger: what a full queue takes in is late, runs on all the same, and its client comes back.
         let crowd = (self.others(node) / self.cores).max(1.0) * node.slowness(self.now).max(1.0);
         let guest = class.access != Access::Write && self.primary(r.what.group) == Some(&node.entry.node);
         let wait = FIRST_LATENCY * class.aim as f64 * crowd * WAIT * if guest { GUEST } else { 1.0 };
