--- a/src/balance.rs
+++ b/src/balance.rs
@@ -392,7 +392,8 @@
         (self.cfg.cold_share + (1.0 - self.cfg.cold_share) * age).clamp(0.01, 1.0)
     }
 
-    /// Whether a node would answer in time, as far as each of hundreds of routers can tell, and whether chance lets this one through to a cold node, which falls over when pushed.
+    /// Whether a node would answer in time, as far as each of hundreds of routers can tell, and whether
+    /// chance lets this request through to a cold node, which falls over when pushed.
     fn admitted(&self, r: &Request, node: &Node, peers: f64) -> bool {
         let class = &self.cfg.classes[r.what.class];
         // Danger: what a full queue takes in is late, runs on all the same, and its client comes back.
