Code that nothing used is taken out: a spread of moments, a doubled condition

Backoff::spread was written for watches and never called but by its own test; others() asked twice whether routers are many; search() named a condition that stood there. Change: all three are out, nothing decides otherwise.

--- a/core/src/backoff.rs
+++ b/core/src/backoff.rs
@@ -34,11 +34,6 @@
         self.next = self.first;
     }
 
-    /// A moment up to so much later than now, evenly drawn: what all would do at once is spread over that span.
-    pub fn spread(&mut self, now: Time, over: Span) -> Time {
-        now + self.below(over + 1)
-    }
-
     fn below(&mut self, end: u64) -> u64 {
         self.state = self.state.wrapping_add(0x9e37_79b9_7f4a_7c15);
         let mixed = (self.state ^ (self.state >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
@@ -80,12 +75,4 @@
         let settled = &calls[20..];
         assert!(settled.iter().all(|n| (25..=90).contains(n)), "50 a second, give or take: {settled:?}");
     }
-
-    #[test]
-    fn spread_moments_stay_within_the_span() {
-        let mut backoff = Backoff::new(S, S, 1);
-        let drawn: Vec<Time> = (0..1_000).map(|_| backoff.spread(10 * S, 150_000) - 10 * S).collect();
-        assert!(drawn.iter().all(|d| *d <= 150_000));
-        assert!(drawn.iter().filter(|d| **d < 75_000).count().abs_diff(500) < 80);
-    }
 }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -376,7 +376,7 @@
     /// What other routers have out at a node, in requests: by its last report, which ages, else the mean.
     fn others(&self, node: &Node) -> f64 {
         let age = self.now.saturating_sub(node.held.1) as f64;
-        let usual = self.groups.get(&node.entry.group).filter(|_| self.thin).map_or(0.0, |g| g.held);
+        let usual = self.groups.get(&node.entry.group).map_or(0.0, |g| g.held);
         if self.thin { usual + (node.held.0 - usual) * (-age / HELD_FADE).exp() } else { 0.0 }
     }
 
@@ -474,8 +474,11 @@
         let may = |n: &&Node| (self.zoning.is_none() || n.counts.is_some()) && self.may_send(r, n);
         let members = group.members.iter().filter_map(|m| self.nodes.get(m)).filter(may);
         let able = |n: &&Node| n.closed.is_none() && !n.suspect && self.fresh(self.now, n, r);
-        let write = access == Access::Write;
-        let peers = if write { COLD_WRITES } else { members.clone().filter(able).count().max(1) as f64 };
+        let peers = if access == Access::Write {
+            COLD_WRITES
+        } else {
+            members.clone().filter(able).count().max(1) as f64
+        };
         let (all, kept): (Vec<&Node>, Vec<&Node>) = members.clone().partition(|n| self.admitted(r, n, peers));
         let wanted = |n: &&Node| (Some(&n.entry.node) == primary) == (access == Access::Write);
         let kept: Vec<NodeId> = kept.into_iter().filter(wanted).map(Node::id).collect();
