One owner of a router's process, for lab and tests; peers that misbehave as stand-ins

Reason: starting, watching and ending a router stood three times (lab's sockets and cost, the translator's tests), each with its own reader of the log and its own way to end it; the rig that breaks processes needs it again, with signals. Tests of bad input need an agent whose words a test chooses, and db nodes that refuse, close, keep silent or report nonsense. Change: standin/src/process.rs (start, listen, fronts, log with a wait on a condition, signals by id through rustix, end) and Folder, which goes with its owner; standin/src/rough.rs; Caller, one client of a router, out of Clients.

--- a/lab/src/cost.rs
+++ b/lab/src/cost.rs
@@ -2,20 +2,16 @@
 //! before one scripted server, with the router's own CPU time beside it.
 
 use plovercove_standin::old::{Heard, Old};
+use plovercove_standin::process::{Folder, Process};
 use plovercove_standin::server::{Answer, Gate, PASSWORD, Server, USER, columns, complete, ready, row};
 use serde_json::json;
-use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
-use std::os::unix::fs::PermissionsExt;
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 /// The verifier of `app`, whose password is `old but true`.
 const APP: (&str, &str) = ("old but true", "app md5fb55191c9e5b0a66e4856ae386b4139d\n");
-/// How long the router may take to start.
-const STARTS: Duration = Duration::from_secs(10);
 
 /// One way to the server.
 struct Way {
@@ -35,20 +31,6 @@
     pub cpu: Vec<f64>,
 }
 
-struct Router {
-    child: Child,
-    folder: PathBuf,
-}
-
-impl Drop for Router {
-    fn drop(&mut self) {
-        // Its own child, which holds nothing that matters.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
-}
-
 fn config(server: SocketAddr) -> String {
     let node = |name: &str, role: &str| {
         json!({"name": name, "address": server.to_string(), "zone": "z", "type": "k", "group": 2, "status": "active",
@@ -71,16 +53,9 @@
     .to_string()
 }
 
-fn start(program: &Path, server: SocketAddr) -> Result<(Router, [SocketAddr; 3]), String> {
-    let folder = std::env::temp_dir().join(format!("plovercove-cost-{}", std::process::id()));
-    let failed = |e: std::io::Error| format!("{}: {e}", folder.display());
-    std::fs::create_dir_all(&folder).map_err(failed)?;
-    let write = |name: &str, text: &str| -> Result<PathBuf, String> {
-        let path = folder.join(name);
-        std::fs::write(&path, text).map_err(failed)?;
-        std::fs::set_permissions(&path, std::fs::Permissions::from_mode(0o600)).map_err(failed)?;
-        Ok(path)
-    };
+fn start(program: &Path, server: SocketAddr) -> Result<(Process, Folder), String> {
+    let folder = Folder::new("cost").map_err(|e| e.to_string())?;
+    let write = |name: &str, text: &str| folder.write(name, text).map_err(|e| e.to_string());
     write("users", APP.1)?;
     write("password", PASSWORD)?;
     let config = write("config.json", &config(server))?;
@@ -97,31 +72,8 @@
 "#
         ),
     )?;
-    let mut child = Command::new(program)
-        .arg("--operators")
-        .arg(operators)
-        .env("PROXY_CONFIG", config)
-        .stderr(Stdio::piped())
-        .spawn()
-        .map_err(|e| format!("{}: {e}", program.display()))?;
-    let log = child.stderr.take().ok_or("the router's log cannot be read")?;
-    let router = Router { child, folder: folder.clone() };
-    let (tell, told) = std::sync::mpsc::channel();
-    std::thread::spawn(move || {
-        for line in BufReader::new(log).lines().map_while(Result::ok) {
-            let found = ["address=", "listen="].iter().find_map(|word| line.split_once(word));
-            let address = found.and_then(|(_, rest)| rest.split(' ').next()?.parse::<SocketAddr>().ok());
-            // The rest is read and let go, so that the router never waits for its log.
-            let _ = address.map(|address| tell.send(address));
-        }
-    });
-    let until = Instant::now() + STARTS;
-    let next = || {
-        let left = until.saturating_duration_since(Instant::now());
-        told.recv_timeout(left).map_err(|_| "the router does not start".to_string())
-    };
-    let (plain, forms, platform) = (next()?, next()?, next()?);
-    Ok((router, [platform, plain, forms]))
+    let process = Process::start(program, &config, |command| command.arg("--operators").arg(operators))?;
+    Ok((process, folder))
 }
 
 /// CPU time of a process so far, in seconds.
@@ -169,7 +121,9 @@
     let answer = [columns(&[("body", 17)]), row(&[Some(&value)]), complete("SELECT 1"), ready(b'I')].concat();
     let server =
         Server::start(Gate::Md5, 0, move |_| Answer::of(answer.clone())).map_err(|e| e.to_string())?;
-    let (router, [platform, plain, forms]) = start(program, server.address())?;
+    let (router, _folder) = start(program, server.address())?;
+    let [plain, forms] = *router.fronts() else { return Err("the router's fronts are not told".into()) };
+    let platform = router.listen();
     let way = |name, address, two, labelled| Way { name, address, two, labelled };
     let ways = [
         way("platform, 3.0, labels", platform, false, true),
@@ -184,9 +138,9 @@
     // The first round warms up and does not count.
     for round in 0..=rounds {
         for (way, cost) in ways.iter().zip(&mut costs) {
-            let (before, begun) = (cpu(router.child.id())?, Instant::now());
+            let (before, begun) = (cpu(router.id())?, Instant::now());
             let answered = load(way, clients, span)?;
-            let (used, took) = (cpu(router.child.id())? - before, begun.elapsed().as_secs_f64());
+            let (used, took) = (cpu(router.id())? - before, begun.elapsed().as_secs_f64());
             if round > 0 && answered > 0 {
                 cost.rates.push(answered as f64 / took);
                 cost.cpu.push(used * 1e6 / answered as f64);
--- a/lab/src/sockets.rs
+++ b/lab/src/sockets.rs
@@ -1,19 +1,16 @@
 //! A small experiment on loopback sockets: stand-ins, and real router processes with tiers.
 
 use plovercove_fleet::{Reads, Spec, Trouble, Variant};
+use plovercove_standin::process::{Blow, Folder, Process};
 use plovercove_standin::{Clients, Fate, Fleet, Sample, Tally};
 use serde::Serialize;
 use serde_json::json;
 use std::fmt::Write as _;
-use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
-/// A router that has not said by then that it serves does not start.
-const STARTS: Duration = Duration::from_secs(10);
-/// ... and one that has not ended by then after SIGTERM is killed.
+/// A router that has not ended by then after SIGTERM is killed.
 const ENDS: Duration = Duration::from_secs(8);
 /// More than this is for the model: threads and sockets are few here.
 const MOST: (usize, usize) = (24, 6);
@@ -50,27 +47,17 @@
     }
 }
 
-/// A router's process, its files and where it listens.
+/// A router, and the place of its zone.
 struct Router {
-    child: Child,
-    listen: SocketAddr,
+    process: Process,
     zone: usize,
 }
 
 impl Drop for Router {
     fn drop(&mut self) {
-        // Its own child: by its id, and waited for.
-        let id = self.child.id().to_string();
-        let asked = Command::new("kill").args(["-TERM", &id]).status();
-        let until = Instant::now() + ENDS;
-        while asked.is_ok() && Instant::now() < until {
-            if matches!(self.child.try_wait(), Ok(Some(_))) {
-                return;
-            }
-            std::thread::sleep(Duration::from_millis(20));
-        }
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        // It finishes what it has taken, as in service; what does not end by then is killed.
+        self.process.strike(Blow::Term);
+        let _ = self.process.ended(ENDS);
     }
 }
 
@@ -120,42 +107,19 @@
 }
 
 fn start(
-    program: &Path, folder: &Path, spec: &Spec, index: usize, zone: usize, agent: SocketAddr,
+    program: &Path, folder: &Folder, spec: &Spec, index: usize, zone: usize, agent: SocketAddr,
 ) -> Result<Router, String> {
-    let (file, rules) = (folder.join(format!("n{index}.json")), folder.join("operators.star"));
     let text = config(spec, index, &spec.zones[zone].name, agent).to_string();
-    std::fs::write(&file, text).map_err(|e| format!("{}: {e}", file.display()))?;
-    let mut command = Command::new(program);
-    command
-        .args(["--log-format", "json"])
-        .env("PROXY_CONFIG", &file)
-        .stderr(Stdio::piped())
-        .stdout(Stdio::null());
-    if spec.variant == Variant::Tiers {
-        command.arg("--operators").arg(&rules);
-    }
-    let mut child = command.spawn().map_err(|e| format!("{}: {e}", program.display()))?;
-    let log = child.stderr.take().ok_or("the router's log cannot be read")?;
-    let (tell, told) = std::sync::mpsc::channel();
-    std::thread::spawn(move || {
-        for line in BufReader::new(log).lines().map_while(Result::ok) {
-            let parsed: Option<serde_json::Value> = serde_json::from_str(&line).ok();
-            let listen = parsed.and_then(|v| v["listen"].as_str()?.parse::<SocketAddr>().ok());
-            // The rest is read and let go, so that the router never waits for its log.
-            let _ = tell.send(listen.ok_or(line));
+    let file = folder.write(&format!("n{index}.json"), &text).map_err(|e| e.to_string())?;
+    let rules = folder.path().join("operators.star");
+    let process = Process::start(program, &file, |command| {
+        command.args(["--log-format", "json"]);
+        if spec.variant == Variant::Tiers {
+            command.arg("--operators").arg(&rules);
         }
+        command
     });
-    let until = Instant::now() + STARTS;
-    let mut said = String::new();
-    while let Ok(line) = told.recv_timeout(until.saturating_duration_since(Instant::now())) {
-        match line {
-            Ok(listen) => return Ok(Router { child, listen, zone }),
-            Err(line) => said = line,
-        }
-    }
-    let _ = child.kill();
-    let _ = child.wait();
-    Err(format!("router {index} does not start: {said}"))
+    Ok(Router { process: process.map_err(|e| format!("router {index}: {e}"))?, zone })
 }
 
 /// Plays a spec: its zones going down and coming up, at their times.
@@ -179,10 +143,8 @@
         steps.push((fault.until, zone, true));
     }
     steps.sort_by(|a, b| a.0.total_cmp(&b.0));
-    let folder = std::env::temp_dir().join(format!("plovercove-lab-{}-{seed}", std::process::id()));
-    std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
-    let rules = folder.join("operators.star");
-    std::fs::write(&rules, operators(spec)?).map_err(|e| format!("{}: {e}", rules.display()))?;
+    let folder = Folder::new(&format!("lab-{seed}")).map_err(|e| e.to_string())?;
+    folder.write("operators.star", &operators(spec)?).map_err(|e| e.to_string())?;
     let fleet = Fleet::start(spec, seed).map_err(|e| e.to_string())?;
     let mut running = Vec::new();
     for (zone, told) in spec.zones.iter().enumerate() {
@@ -191,7 +153,7 @@
         }
     }
     tell(&format!("{nodes} db nodes and {routers} routers serve"));
-    let addresses: Vec<_> = running.iter().map(|r| (r.zone, r.listen)).collect();
+    let addresses: Vec<_> = running.iter().map(|r| (r.zone, r.process.listen())).collect();
     let begun = Instant::now();
     let clients = Clients::start(spec, &addresses, seed);
     for (at, zone, up) in steps {
@@ -208,7 +170,6 @@
     let tally = fleet.tally();
     drop(running);
     drop(fleet);
-    let _ = std::fs::remove_dir_all(&folder);
     Ok(count(spec, &samples, &tally))
 }
 
--- a/router/tests/translator.rs
+++ b/router/tests/translator.rs
@@ -3,35 +3,25 @@
 
 use plovercove_dialect::catalogue::{ENTRIES, Entry, Side, Treatment};
 use plovercove_standin::old::{Heard, Old, cancel};
+use plovercove_standin::process::{Folder, Process};
 use plovercove_standin::server::{
     Answer, Gate, PASSWORD, Server, Then, USER, columns, complete, fields, message, ready, row,
 };
-use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
-use std::os::unix::fs::PermissionsExt;
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
-use std::sync::{Arc, Mutex};
+use std::path::Path;
+use std::process::Command;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// The password of `app` (MD5) and of `new` (SCRAM).
 const APP: &str = "old but true";
 
 struct Router {
-    child: Child,
-    folder: PathBuf,
+    process: Process,
+    /// Its files lie there for as long as it runs.
+    _folder: Folder,
     old: SocketAddr,
     new: SocketAddr,
-    log: Arc<Mutex<String>>,
-}
-
-impl Drop for Router {
-    fn drop(&mut self) {
-        // It may have ended already.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
 }
 
 impl Router {
@@ -42,14 +32,8 @@
 
     /// The same, with a primary and a replica, and the class of reads.
     fn between(name: &str, server: &Server, replica: &Server, reads: &str) -> Self {
-        let folder = std::env::temp_dir().join(format!("plovercove-{}-{name}", std::process::id()));
-        std::fs::create_dir_all(&folder).expect("a folder for temporary files");
-        let write = |file: &str, text: &str| {
-            let path = folder.join(file);
-            std::fs::write(&path, text).expect("a place for the file");
-            std::fs::set_permissions(&path, std::fs::Permissions::from_mode(0o600)).expect("its own file");
-            path
-        };
+        let folder = Folder::new(name).expect("a folder for temporary files");
+        let write = |file: &str, text: &str| folder.write(file, text).expect("a place for the file");
         let config = include_str!("exchanges/config.json")
             .replace("{agent}", "127.0.0.1:9")
             .replace("{p}", &server.address().to_string())
@@ -73,32 +57,13 @@
 "#
             ),
         );
-        let mut child = Command::new(env!("CARGO_BIN_EXE_plovercove"))
-            .arg("--operators")
-            .arg(operators)
-            .env("PROXY_CONFIG", config)
-            .env("PROXY_LOG", "debug")
-            .stderr(Stdio::piped())
-            .spawn()
-            .expect("the router starts");
-        let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines();
-        let (mut said, mut found) = (String::new(), Vec::new());
-        while found.len() < 2 {
-            let line = lines.next().unwrap_or_else(|| panic!("it ended: {said}")).expect("text");
-            found.extend(
-                line.split_once("address=")
-                    .and_then(|(_, a)| a.split(' ').next()?.parse::<SocketAddr>().ok()),
-            );
-            said.push_str(&line);
-        }
-        let log = Arc::new(Mutex::new(said));
-        let mine = Arc::clone(&log);
-        std::thread::spawn(move || {
-            for line in lines.map_while(Result::ok) {
-                mine.lock().expect("no thread panics with it").push_str(&format!("{line}\n"));
-            }
+        let program = Path::new(env!("CARGO_BIN_EXE_plovercove"));
+        let process = Process::start(program, &config, |command| {
+            command.arg("--operators").arg(operators).env("PROXY_LOG", "debug")
         });
-        Router { child, folder, old: found[0], new: found[1], log }
+        let process = process.expect("it starts");
+        let [old, new] = *process.fronts() else { panic!("two fronts: {:?}", process.lines()) };
+        Router { process, _folder: folder, old, new }
     }
 
     fn client(&self, two: bool) -> Old {
@@ -106,7 +71,7 @@
     }
 
     fn log(&self) -> String {
-        self.log.lock().expect("no thread panics with it").clone()
+        self.process.lines().join("\n")
     }
 }
 
--- a/standin/src/client.rs
+++ b/standin/src/client.rs
@@ -67,7 +67,8 @@
                 let name = (n * THREADS + thread) as u64;
                 let client = move || {
                     let dice = plovercove_fleet::Dice::seed_from_u64(seed ^ (name << 32));
-                    let mut client = Client { spec, zone, address, name, dice, stream: None, asked: 0 };
+                    let mut client =
+                        Client { spec, zone, caller: Caller::new(address), name, dice, asked: 0 };
                     let found = client.run(each, begun, &stop);
                     samples.lock().unwrap_or_else(PoisonError::into_inner).extend(found);
                 };
@@ -90,58 +91,21 @@
     }
 }
 
-struct Client {
-    spec: Spec,
-    zone: usize,
+/// One client's connection to a router: a request at a time, on a connection that is kept where it can be.
+pub struct Caller {
     address: SocketAddr,
-    name: u64,
-    dice: plovercove_fleet::Dice,
     stream: Option<TcpStream>,
-    asked: u64,
 }
 
-impl Client {
-    fn run(&mut self, rate: f64, begun: Instant, stop: &AtomicBool) -> Vec<Sample> {
-        let mut samples = Vec::new();
-        let mut due = Duration::ZERO;
-        loop {
-            let gap = Exp::new(rate).map_or(1.0, |d| d.sample(&mut self.dice));
-            due += Duration::from_secs_f64(gap);
-            std::thread::sleep(due.saturating_sub(begun.elapsed()));
-            if stop.load(Ordering::Relaxed) {
-                return samples;
-            }
-            // One that is behind asks when it can: it is a client, not a clock.
-            due = due.max(begun.elapsed());
-            let class = self.class();
-            let fate = self.ask(class);
-            let took = begun.elapsed().saturating_sub(due);
-            samples.push(Sample { at: due, took, class, zone: self.zone, fate });
-        }
-    }
-
-    fn class(&mut self) -> usize {
-        let all: f64 = self.spec.classes.iter().map(|c| c.share).sum();
-        let mut draw = self.dice.random::<f64>() * all;
-        let found = self.spec.classes.iter().position(|c| {
-            draw -= c.share;
-            draw < 0.0
-        });
-        found.unwrap_or(0)
+impl Caller {
+    /// A client of this router, not yet connected.
+    pub fn new(address: SocketAddr) -> Self {
+        Caller { address, stream: None }
     }
 
-    fn ask(&mut self, class: usize) -> Fate {
-        self.asked += 1;
-        let id = format!("{:x}{:08x}", self.name + 16, self.asked);
-        let group = self.dice.random_range(0..self.spec.groups()) + 1;
-        let told = &self.spec.classes[class];
-        let (name, d, t) = (&told.name, told.deadline_ms, &self.spec.zones[self.zone].name);
-        let what = if told.reads == Reads::Write { "INSERT" } else { "SELECT" };
-        let statement =
-            format!("/* id={id},c={name},t={t},d={d},cluster={group} */ {what} 'k{}'\0", self.name);
-        let patience = Duration::from_millis(d) + GRACE;
-        let fate = self.exchange(&statement, id.as_bytes(), patience);
-        fate.unwrap_or_else(|e| {
+    /// Asks one thing and waits for its final answer; its value must end with the id.
+    pub fn ask(&mut self, statement: &str, id: &str, patience: Duration) -> Fate {
+        self.exchange(&format!("{statement}\0"), id.as_bytes(), patience + GRACE).unwrap_or_else(|e| {
             self.stream = None;
             match e.kind() {
                 ErrorKind::WouldBlock | ErrorKind::TimedOut => Fate::Unanswered,
@@ -187,3 +151,54 @@
         }
     }
 }
+
+struct Client {
+    spec: Spec,
+    zone: usize,
+    caller: Caller,
+    name: u64,
+    dice: plovercove_fleet::Dice,
+    asked: u64,
+}
+
+impl Client {
+    fn run(&mut self, rate: f64, begun: Instant, stop: &AtomicBool) -> Vec<Sample> {
+        let mut samples = Vec::new();
+        let mut due = Duration::ZERO;
+        loop {
+            let gap = Exp::new(rate).map_or(1.0, |d| d.sample(&mut self.dice));
+            due += Duration::from_secs_f64(gap);
+            std::thread::sleep(due.saturating_sub(begun.elapsed()));
+            if stop.load(Ordering::Relaxed) {
+                return samples;
+            }
+            // One that is behind asks when it can: it is a client, not a clock.
+            due = due.max(begun.elapsed());
+            let class = self.class();
+            let fate = self.ask(class);
+            let took = begun.elapsed().saturating_sub(due);
+            samples.push(Sample { at: due, took, class, zone: self.zone, fate });
+        }
+    }
+
+    fn class(&mut self) -> usize {
+        let all: f64 = self.spec.classes.iter().map(|c| c.share).sum();
+        let mut draw = self.dice.random::<f64>() * all;
+        let found = self.spec.classes.iter().position(|c| {
+            draw -= c.share;
+            draw < 0.0
+        });
+        found.unwrap_or(0)
+    }
+
+    fn ask(&mut self, class: usize) -> Fate {
+        self.asked += 1;
+        let id = format!("{:x}{:08x}", self.name + 16, self.asked);
+        let group = self.dice.random_range(0..self.spec.groups()) + 1;
+        let told = &self.spec.classes[class];
+        let (name, d, t) = (&told.name, told.deadline_ms, &self.spec.zones[self.zone].name);
+        let what = if told.reads == Reads::Write { "INSERT" } else { "SELECT" };
+        let statement = format!("/* id={id},c={name},t={t},d={d},cluster={group} */ {what} 'k{}'", self.name);
+        self.caller.ask(&statement, &id, Duration::from_millis(d))
+    }
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -7,10 +7,12 @@
 mod fleet;
 mod node;
 pub mod old;
+pub mod process;
+pub mod rough;
 pub mod server;
 mod wire;
 
-pub use client::{Clients, Fate, Sample};
+pub use client::{Caller, Clients, Fate, Sample};
 pub use fleet::{Fleet, Tally};
 
 use plovercove::Time;
--- /dev/null
+++ b/standin/src/process.rs
@@ -0,0 +1,266 @@
+//! A router's process: started, watched by its log, signalled by its id, and ended. The one owner of all three for the
+//! lab, the rig and the tests.
+
+use rustix::process::{Pid, Signal, kill_process};
+use std::fs;
+use std::io::{self, BufRead, BufReader};
+use std::net::SocketAddr;
+use std::os::unix::fs::PermissionsExt;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// A router that has not said by then that it listens does not start.
+const STARTS: Duration = Duration::from_secs(10);
+/// Between two looks at whether a process has ended: the system tells only its parent, and only when asked.
+const LOOKS: Duration = Duration::from_millis(5);
+
+/// What is done to a process from outside.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Blow {
+    /// SIGTERM: it finishes what it has taken and ends.
+    Term,
+    /// SIGKILL: it is gone at once.
+    Kill,
+    /// SIGSTOP: it stands still, its connections stay open.
+    Stop,
+    /// SIGCONT: it goes on.
+    Continue,
+    /// SIGHUP: it reads its files again.
+    Reload,
+}
+
+#[derive(Default)]
+struct Said {
+    lines: Vec<String>,
+    /// Its log is at an end.
+    over: bool,
+}
+
+#[derive(Default)]
+struct Log {
+    said: Mutex<Said>,
+    news: Condvar,
+}
+
+impl Log {
+    fn said(&self) -> MutexGuard<'_, Said> {
+        self.said.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits until something is found in the log; none once it is over or the time is.
+    fn find<T>(&self, within: Duration, mut what: impl FnMut(&[String]) -> Option<T>) -> Option<T> {
+        let until = Instant::now() + within;
+        let mut said = self.said();
+        loop {
+            if let Some(found) = what(&said.lines) {
+                return Some(found);
+            }
+            let left = until.saturating_duration_since(Instant::now());
+            if said.over || left.is_zero() {
+                return None;
+            }
+            said = self.news.wait_timeout(said, left).unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+}
+
+/// A folder of its own for a process's files. It goes with its owner.
+pub struct Folder(PathBuf);
+
+impl Folder {
+    /// A new folder whose name begins so.
+    ///
+    /// # Errors
+    /// It could not be made.
+    pub fn new(name: &str) -> io::Result<Self> {
+        let path = std::env::temp_dir().join(format!("plovercove-{}-{name}", std::process::id()));
+        fs::create_dir_all(&path)?;
+        Ok(Folder(path))
+    }
+
+    /// Where it is.
+    pub fn path(&self) -> &Path {
+        &self.0
+    }
+
+    /// Writes a file that only its owner may read.
+    ///
+    /// # Errors
+    /// It could not be written.
+    pub fn write(&self, file: &str, text: &str) -> io::Result<PathBuf> {
+        let path = self.0.join(file);
+        fs::write(&path, text)?;
+        fs::set_permissions(&path, fs::Permissions::from_mode(0o600))?;
+        Ok(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+/// A running router.
+pub struct Process {
+    child: Child,
+    log: Arc<Log>,
+    listen: SocketAddr,
+    fronts: Vec<SocketAddr>,
+}
+
+/// The address that a line names after this word, in the text form of the log or in JSON.
+fn address(line: &str, word: &str) -> Option<SocketAddr> {
+    let (_, rest) =
+        line.split_once(&format!("{word}=")).or_else(|| line.split_once(&format!("\"{word}\":\"")))?;
+    rest.split([' ', '"']).next()?.parse().ok()
+}
+
+impl Process {
+    /// Starts a router with this configuration and waits until it serves.
+    ///
+    /// # Errors
+    /// It ended, or did not say in time that it listens; with the last line that it said.
+    pub fn start(
+        program: &Path, config: &Path, more: impl FnOnce(&mut Command) -> &mut Command,
+    ) -> Result<Self, String> {
+        let mut command = Command::new(program);
+        command.env("PROXY_CONFIG", config).stderr(Stdio::piped()).stdout(Stdio::null());
+        let mut child = more(&mut command).spawn().map_err(|e| format!("{}: {e}", program.display()))?;
+        let err = child.stderr.take();
+        let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
+        let mut process = Process { child, log: Arc::default(), listen: nowhere, fronts: Vec::new() };
+        let err = err.ok_or("its log cannot be read")?;
+        let log = Arc::clone(&process.log);
+        // The log is read to its end, or the program would wait for a reader.
+        std::thread::spawn(move || {
+            for line in BufReader::new(err).lines().map_while(Result::ok) {
+                log.said().lines.push(line);
+                log.news.notify_all();
+            }
+            log.said().over = true;
+            log.news.notify_all();
+        });
+        // The platform's listener is told of last.
+        let listen = process.log.find(STARTS, |lines| lines.iter().find_map(|line| address(line, "listen")));
+        let Some(listen) = listen else {
+            let last = process.log.said().lines.last().cloned().unwrap_or_default();
+            return Err(format!("the router does not start: {last}"));
+        };
+        process.listen = listen;
+        process.fronts = process.lines().iter().filter_map(|line| address(line, "address")).collect();
+        Ok(process)
+    }
+
+    /// Where the platform's clients come.
+    pub fn listen(&self) -> SocketAddr {
+        self.listen
+    }
+
+    /// Where those of further fronts come, in the order of the operators' file.
+    pub fn fronts(&self) -> &[SocketAddr] {
+        &self.fronts
+    }
+
+    /// The number of its process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// The lines of its log so far.
+    pub fn lines(&self) -> Vec<String> {
+        self.log.said().lines.clone()
+    }
+
+    /// Waits for a line of its log that holds these words.
+    pub fn says(&self, words: &str, within: Duration) -> Option<String> {
+        self.log.find(within, |lines| lines.iter().find(|line| line.contains(words)).cloned())
+    }
+
+    /// Does this to it. It may have ended already, which is no fault.
+    pub fn strike(&mut self, blow: Blow) {
+        // Danger: the number of a process that has been waited for may be another's by now.
+        if matches!(self.child.try_wait(), Ok(Some(_))) {
+            return;
+        }
+        let signal = match blow {
+            Blow::Term => Signal::TERM,
+            Blow::Kill => Signal::KILL,
+            Blow::Stop => Signal::STOP,
+            Blow::Continue => Signal::CONT,
+            Blow::Reload => Signal::HUP,
+        };
+        if let Some(id) = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw) {
+            let _ = kill_process(id, signal);
+        }
+    }
+
+    /// Waits for its end.
+    pub fn ended(&mut self, within: Duration) -> Option<ExitStatus> {
+        let until = Instant::now() + within;
+        loop {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Some(status);
+            }
+            if Instant::now() >= until {
+                return None;
+            }
+            std::thread::sleep(LOOKS);
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // Its own child, stopped or not: whoever wants it to end in peace has told it so before.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn addresses_are_found_in_both_forms_of_the_log() {
+        let there: SocketAddr = "127.0.0.1:5432".parse().expect("an address");
+        for line in
+            ["INFO serving name=\"n\" listen=127.0.0.1:5432", "{\"listen\":\"127.0.0.1:5432\",\"x\":1}"]
+        {
+            assert_eq!(address(line, "listen"), Some(there));
+            assert_eq!(address(line, "address"), None);
+        }
+    }
+
+    #[test]
+    fn a_process_that_ends_at_once_is_told_of_with_its_last_words() {
+        let folder = Folder::new("ends-at-once").expect("a folder");
+        let path = folder.write("config.json", "{}").expect("a file");
+        let said = Process::start(Path::new("/bin/sh"), &path, |c| c.args(["-c", "echo no good >&2"]));
+        assert_eq!(said.err().as_deref(), Some("the router does not start: no good"));
+        let gone = folder.path().to_path_buf();
+        drop(folder);
+        assert!(!gone.exists());
+    }
+
+    #[test]
+    fn a_stopped_process_goes_on_and_ends_and_is_struck_no_more() {
+        let folder = Folder::new("stopped").expect("a folder");
+        let path = folder.write("config.json", "{}").expect("a file");
+        let script = "echo listen=127.0.0.1:1 >&2; read _; exit 3";
+        let mut process =
+            Process::start(Path::new("/bin/sh"), &path, |c| c.args(["-c", script]).stdin(Stdio::piped()))
+                .expect("it says where it listens");
+        process.strike(Blow::Stop);
+        drop(process.child.stdin.take());
+        assert_eq!(process.ended(Duration::from_millis(50)), None, "it stands still");
+        process.strike(Blow::Continue);
+        let status = process.ended(STARTS).expect("it goes on to its end");
+        assert_eq!(status.code(), Some(3));
+        process.strike(Blow::Kill);
+        assert!(process.says("never said", STARTS).is_none(), "its log is over, so nobody waits");
+    }
+}
--- /dev/null
+++ b/standin/src/rough.rs
@@ -0,0 +1,242 @@
+//! Peers of a router that behave badly: an agent whose answers a test words itself, and db nodes that refuse, close,
+//! keep silent or answer with spoilt and short reports. Each counts what came to it.
+
+use crate::wire;
+use std::collections::HashMap;
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// What an agent does with a call.
+#[derive(Clone, Debug)]
+pub enum Says {
+    /// Answers with this body.
+    Body(String),
+    /// Answers with this status and no body.
+    Status(u16),
+    /// Says nothing and keeps the connection open.
+    Nothing,
+    /// Sends the first half of this body and then nothing.
+    Half(String),
+    /// Closes the connection.
+    Closes,
+}
+
+/// An agent that does what it is told, call by call; when its script is at an end it keeps silent.
+pub struct Agent {
+    address: SocketAddr,
+    script: Arc<(Mutex<Vec<Says>>, Condvar)>,
+    calls: Arc<Mutex<Vec<String>>>,
+}
+
+impl Agent {
+    /// An agent with the first part of its script.
+    ///
+    /// # Errors
+    /// No port could be had.
+    pub fn start(mut script: Vec<Says>) -> io::Result<Self> {
+        script.reverse();
+        let listener = TcpListener::bind(("127.0.0.1", 0))?;
+        let agent = Agent {
+            address: listener.local_addr()?,
+            script: Arc::new((Mutex::new(script), Condvar::new())),
+            calls: Arc::default(),
+        };
+        let (script, calls) = (agent.script.clone(), agent.calls.clone());
+        std::thread::spawn(move || {
+            while let Ok((connection, _)) = listener.accept() {
+                let (script, calls) = (script.clone(), calls.clone());
+                std::thread::spawn(move || drop(Self::serve(connection, &script, &calls)));
+            }
+        });
+        Ok(agent)
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Adds to the end of its script.
+    pub fn then(&self, says: Says) {
+        self.script.0.lock().unwrap_or_else(PoisonError::into_inner).insert(0, says);
+        self.script.1.notify_all();
+    }
+
+    /// The first lines of the calls so far.
+    pub fn calls(&self) -> Vec<String> {
+        self.calls.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Waits until it has been called so often.
+    pub fn called(&self, times: usize, within: Duration) -> bool {
+        let until = Instant::now() + within;
+        while self.calls().len() < times && Instant::now() < until {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        self.calls().len() >= times
+    }
+
+    fn serve(
+        connection: TcpStream, script: &(Mutex<Vec<Says>>, Condvar), calls: &Mutex<Vec<String>>,
+    ) -> io::Result<()> {
+        let mut reader = BufReader::new(connection.try_clone()?);
+        let mut writer = connection;
+        loop {
+            let mut first = String::new();
+            if reader.read_line(&mut first)? == 0 {
+                return Ok(());
+            }
+            let mut header = String::from("?");
+            while !header.trim().is_empty() {
+                header.clear();
+                reader.read_line(&mut header)?;
+            }
+            calls.lock().unwrap_or_else(PoisonError::into_inner).push(first.trim().to_string());
+            let mut left = script.0.lock().unwrap_or_else(PoisonError::into_inner);
+            let says = loop {
+                match left.pop() {
+                    Some(says) => break says,
+                    None => left = script.1.wait(left).unwrap_or_else(PoisonError::into_inner),
+                }
+            };
+            drop(left);
+            let head = |length: usize| format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+            match says {
+                Says::Body(body) => write!(writer, "{}{body}", head(body.len()))?,
+                Says::Status(status) => {
+                    write!(writer, "HTTP/1.1 {status} No\r\nContent-Length: 0\r\n\r\n")?;
+                }
+                Says::Half(body) => write!(writer, "{}{}", head(body.len()), &body[..body.len() / 2])?,
+                Says::Closes => return writer.shutdown(Shutdown::Both),
+                Says::Nothing => {
+                    // Until the router gives the connection up.
+                    reader.read_to_end(&mut Vec::new())?;
+                    return Ok(());
+                }
+            }
+        }
+    }
+}
+
+/// How a db node behaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Manner {
+    /// Serves, and tells its position and load when asked.
+    Good,
+    /// Nothing listens there.
+    Refuses,
+    /// Takes a connection in and closes it at once.
+    Closes,
+    /// Takes a connection in and says nothing, ever.
+    Silent,
+    /// Greets, and closes when a statement comes.
+    ClosesOnWork,
+    /// Serves, but its reports lack all fields but one.
+    ShortReport,
+    /// Serves, but its reports are no reports.
+    SpoiltReport,
+}
+
+#[derive(Default)]
+struct Counts {
+    connections: AtomicUsize,
+    ran: Mutex<HashMap<String, usize>>,
+}
+
+/// A db node with manners of its own.
+pub struct Node {
+    address: SocketAddr,
+    counts: Arc<Counts>,
+    /// Keeps the port of one that refuses from being another's.
+    _held: Option<socket2::Socket>,
+}
+
+impl Node {
+    /// A node that behaves so, as primary or as replica.
+    ///
+    /// # Errors
+    /// No port could be had.
+    pub fn start(manner: Manner, primary: bool) -> io::Result<Self> {
+        let counts = Arc::<Counts>::default();
+        if manner == Manner::Refuses {
+            let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)?;
+            socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())?;
+            let address = socket.local_addr()?.as_socket().ok_or(io::ErrorKind::AddrNotAvailable)?;
+            return Ok(Node { address, counts, _held: Some(socket) });
+        }
+        let listener = TcpListener::bind(("127.0.0.1", 0))?;
+        let node = Node { address: listener.local_addr()?, counts, _held: None };
+        let counts = node.counts.clone();
+        std::thread::spawn(move || {
+            while let Ok((connection, _)) = listener.accept() {
+                counts.connections.fetch_add(1, Ordering::Relaxed);
+                let counts = counts.clone();
+                std::thread::spawn(move || drop(Self::talk(connection, manner, primary, &counts)));
+            }
+        });
+        Ok(node)
+    }
+
+    /// Where it listens, or would.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Connections that came.
+    pub fn connections(&self) -> usize {
+        self.counts.connections.load(Ordering::Relaxed)
+    }
+
+    /// How often each statement came whole, by its id.
+    pub fn ran(&self) -> HashMap<String, usize> {
+        self.counts.ran.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn talk(mut stream: TcpStream, manner: Manner, primary: bool, counts: &Counts) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        match manner {
+            Manner::Closes => return stream.shutdown(Shutdown::Both),
+            Manner::Silent => return stream.read_to_end(&mut Vec::new()).map(drop),
+            _ => {}
+        }
+        wire::startup(&mut stream)?;
+        let role = if primary { "primary" } else { "standby" };
+        let mut out = Vec::new();
+        wire::put(&mut out, b'R', &[0; 4]);
+        wire::put_status(&mut out, "replication_role", role);
+        wire::put_ready(&mut out);
+        stream.write_all(&out)?;
+        loop {
+            let (kind, body) = wire::message(&mut stream)?;
+            if kind != b'Q' {
+                return Ok(());
+            }
+            let text = String::from_utf8_lossy(&body);
+            let statement = text.trim_end_matches('\0');
+            let mut out = Vec::new();
+            if statement == "SHOW pressure" {
+                let position = crate::now() as f64 / 1e6;
+                let report = match manner {
+                    Manner::ShortReport => "util=0.2".to_string(),
+                    Manner::SpoiltReport => "x0=never,x1=,,inflight=-7=8,\u{fffd}".to_string(),
+                    _ => format!("x0={position:.6},x1={},inflight=0,util=0.10", u8::from(primary)),
+                };
+                wire::put_row(&mut out, report.as_bytes());
+            } else if let Some(id) = wire::label(statement, "id") {
+                *counts.ran.lock().unwrap_or_else(PoisonError::into_inner).entry(id.into()).or_default() += 1;
+                if manner == Manner::ClosesOnWork {
+                    return stream.shutdown(Shutdown::Both);
+                }
+                wire::put_status(&mut out, "replication_role", role);
+                wire::put_row(&mut out, id.as_bytes());
+            } else {
+                wire::put_error(&mut out, "08P01");
+            }
+            wire::put_ready(&mut out);
+            stream.write_all(&out)?;
+        }
+    }
+}
