No list takes all db nodes away: empty, older and unknown ones are doubted first

A whole list without entries closed every db node; changes of a version older than the list's were taken over and opened what drains; one unknown status made every answer unreadable, so that no later news came through. Change: Discovery::doubt. An empty whole list is a failed call; older changes are followed by a call for the whole list; an unknown status is asked for once more (a spoilt byte differs then), and if it stands there still, its node counts as draining. A remembered list with an unknown status is refused with its key, as before.

--- a/router/src/config.rs
+++ b/router/src/config.rs
@@ -95,7 +95,7 @@
         name: told("PROXY_NAME", "name")?.0,
         listen: address("PROXY_LISTEN", "listen")?,
         discovery: address("PROXY_DISCOVERY", "discovery")?,
-        known: top.maybe("known", |v, what| discovery::listing(v, &format!("{what}.")))?.unwrap_or_default(),
+        known: top.maybe("known", known)?.unwrap_or_default(),
         seed: top.maybe("seed", seed)?.unwrap_or(1),
         clients: clients as usize,
         backends: (sockets - RESERVED - clients) as usize,
@@ -110,6 +110,12 @@
     })
 }
 
+/// What was remembered is this program's own form: a status that it does not know is a mistake there.
+fn known(value: &Value, what: &str) -> Read<Listing> {
+    let listing = discovery::listing(value, &format!("{what}."))?;
+    listing.odd.clone().map_or(Ok(listing), |odd| Err(Fault::new(odd)))
+}
+
 fn seed(value: &Value, what: &str) -> Read<u64> {
     let hex = value.as_str().and_then(|digits| u64::from_str_radix(digits, 16).ok());
     hex.map_or_else(|| whole(value, what), Ok)
--- a/router/src/discovery.rs
+++ b/router/src/discovery.rs
@@ -26,6 +26,10 @@
 /// The longest answer.
 const LONGEST: usize = 8 * 1024 * 1024;
 
+/// The statuses of an entry.
+const STATES: [(&str, Listed); 3] =
+    [("active", Listed::Serving), ("leaving", Listed::Draining), ("left", Listed::Gone)];
+
 /// A list, or the changes to one.
 #[derive(Clone, Debug, Default)]
 pub struct Listing {
@@ -35,24 +39,27 @@
     pub whole: bool,
     /// Its entries, with the addresses they are reached at.
     pub entries: Vec<(NodeEntry, Option<SocketAddr>)>,
+    /// A status that this router does not know, and where it stands; its entry counts as draining.
+    pub odd: Option<String>,
 }
 
 /// Reads a list; complaints name its keys from this path on.
 pub fn listing(value: &Value, path: &str) -> Read<Listing> {
     let top = Part::new(value, path);
-    let entries = top.get("endpoints", list)?.iter().enumerate();
-    let entries =
-        entries.map(|(place, value)| entry(&Part::new(value, format!("{path}endpoints[{place}]."))));
-    Ok(Listing {
-        index: top.get("index", whole)?,
-        whole: top.get("snapshot", flag)?,
-        entries: entries.collect::<Read<_>>()?,
-    })
+    let (mut entries, mut odd) = (Vec::new(), None);
+    for (place, value) in top.get("endpoints", list)?.iter().enumerate() {
+        let part = Part::new(value, format!("{path}endpoints[{place}]."));
+        part.get("status", text)?;
+        let state = part.word("status", &STATES).unwrap_or_else(|fault| {
+            odd = Some(fault.to_string());
+            Listed::Draining
+        });
+        entries.push(entry(&part, state)?);
+    }
+    Ok(Listing { index: top.get("index", whole)?, whole: top.get("snapshot", flag)?, entries, odd })
 }
 
-fn entry(part: &Part<'_>) -> Read<(NodeEntry, Option<SocketAddr>)> {
-    let states = [("active", Listed::Serving), ("leaving", Listed::Draining), ("left", Listed::Gone)];
-    let state = part.word("status", &states)?;
+fn entry(part: &Part<'_>, state: Listed) -> Read<(NodeEntry, Option<SocketAddr>)> {
     let address = part.maybe("address", |value, what| {
         let given = text(value, what)?;
         given.parse().map_err(|_| Fault::new(format!("{what}: expected an address and port, got {given:?}")))
@@ -81,6 +88,10 @@
     index: Option<u64>,
     deadline: Option<Time>,
     failing: bool,
+    /// Some list has named a node.
+    named: bool,
+    /// The status that was not known the last time.
+    odd: Option<String>,
     backoff: Backoff,
 }
 
@@ -88,7 +99,17 @@
     /// A watch that has not begun, from this version of the list on, if one is known.
     pub fn new(poll: &Poll, agent: SocketAddr, index: Option<u64>, seed: u64) -> Self {
         let backoff = Backoff::new(PAUSES.0, PAUSES.1, seed);
-        Discovery { poll: poll.clone(), agent, stream: None, index, deadline: None, failing: false, backoff }
+        Discovery {
+            poll: poll.clone(),
+            agent,
+            stream: None,
+            index,
+            deadline: None,
+            failing: false,
+            named: index.is_some(),
+            odd: None,
+            backoff,
+        }
     }
 
     /// Makes the first call.
@@ -162,6 +183,38 @@
         }
     }
 
+    /// Why a list that can be read is not to be followed, if it is not. Danger: an agent that has lost what it knew would
+    /// close every db node with one answer.
+    fn doubt(&mut self, listing: &Listing) -> Option<String> {
+        if listing.whole && listing.entries.is_empty() && self.named {
+            return Some("the list names nobody".into());
+        }
+        if !listing.whole && self.index.is_some_and(|known| listing.index < known) {
+            let cause = format!("changes of version {}, which is older than the list's", listing.index);
+            self.index = None;
+            return Some(cause);
+        }
+        // A spoilt answer differs the next time; a word that comes again is one that this version does not know.
+        let odd = listing.odd.clone().filter(|odd| self.odd.as_ref() != Some(odd))?;
+        self.index = None;
+        self.odd = Some(odd.clone());
+        Some(odd)
+    }
+
+    fn follow(&mut self, listing: Listing, found: &mut Vec<Listing>) {
+        if std::mem::take(&mut self.failing) {
+            info!("discovery answers again");
+            // It was doubted just now, so this is told once, and not with every list that has it.
+            listing.odd.iter().for_each(|odd| warn!("discovery: {odd}; its node counts as draining"));
+        }
+        self.odd.clone_from(&listing.odd);
+        debug!(index = listing.index, entries = listing.entries.len(), "list");
+        self.backoff.answered();
+        self.named |= !listing.entries.is_empty();
+        self.index = Some(listing.index);
+        found.push(listing);
+    }
+
     /// The poller has something to say of the connection. Returns the answers that have come.
     pub fn event(&mut self, now: Time, core: &mut Core) -> Vec<Listing> {
         let mut found = Vec::new();
@@ -179,19 +232,16 @@
                 Ok(Some((body, length))) => {
                     stream.take(length);
                     match parse(body).and_then(|value| listing(&value, "")) {
-                        Ok(listing) => {
-                            if std::mem::take(&mut self.failing) {
-                                info!("discovery answers again");
-                            }
-                            debug!(index = listing.index, entries = listing.entries.len(), "list");
-                            self.backoff.answered();
-                            self.index = Some(listing.index);
-                            found.push(listing);
-                            if peer != Peer::Open {
-                                self.stream = None;
+                        Ok(listing) => match self.doubt(&listing) {
+                            None => {
+                                self.follow(listing, &mut found);
+                                if peer != Peer::Open {
+                                    self.stream = None;
+                                }
+                                self.call(now, core);
                             }
-                            self.call(now, core);
-                        }
+                            Some(cause) => self.failed(&cause, now, core),
+                        },
                         Err(fault) => {
                             // What could not be read may have held news: it is asked for whole.
                             self.index = None;
