--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`node`] and [`replication`] are plain state machines that are told the time; the stand-ins on sockets use them too.
 
 pub mod node;
+mod pressure;
 pub mod replication;
 mod report;
 mod rules;
--- /dev/null
+++ b/fleet/src/pressure.rs
@@ -0,0 +1,101 @@
+//! Who presses the cold nodes: what came to each of late, from whom. A node that falls over is told with it.
+
+use plovercove::{Span, Time};
+use std::collections::{HashMap, VecDeque};
+use std::fmt;
+
+/// The part of the pressure that must come from routers that knew of the start for the rule to be theirs.
+const THEIRS: f64 = 2.0 / 3.0;
+
+/// One request that reached a cold node.
+pub(crate) struct Press {
+    pub(crate) at: Time,
+    /// Its work (s).
+    pub(crate) work: f64,
+    /// Its router had been told that the node started.
+    pub(crate) told: bool,
+    pub(crate) write: bool,
+    /// It was not its request's first attempt.
+    pub(crate) again: bool,
+}
+
+/// What reached the cold nodes within the window that the rule names.
+pub(crate) struct Pressure {
+    window: Span,
+    nodes: HashMap<u32, VecDeque<Press>>,
+}
+
+/// Shares of the work that pressed a node.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct Shares {
+    told: f64,
+    writes: f64,
+    again: f64,
+}
+
+impl Shares {
+    /// Whether the routers knew what they did.
+    pub(crate) fn theirs(&self) -> bool {
+        self.told >= THEIRS
+    }
+}
+
+impl fmt::Display for Shares {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let percent = |share: f64| (share * 100.0).round();
+        let (told, writes, again) = (percent(self.told), percent(self.writes), percent(self.again));
+        write!(
+            f,
+            "{told} % from routers that were told of its start, {writes} % writes, {again} % further attempts"
+        )
+    }
+}
+
+impl Pressure {
+    pub(crate) fn new(window: Span) -> Self {
+        Pressure { window, nodes: HashMap::new() }
+    }
+
+    pub(crate) fn add(&mut self, node: u32, press: Press) {
+        let seen = self.nodes.entry(node).or_default();
+        while seen.front().is_some_and(|old| old.at + self.window < press.at) {
+            seen.pop_front();
+        }
+        seen.push_back(press);
+    }
+
+    /// A new process has not been pressed yet.
+    pub(crate) fn clear(&mut self, node: u32) {
+        self.nodes.remove(&node);
+    }
+
+    pub(crate) fn shares(&self, node: u32) -> Shares {
+        let seen = self.nodes.get(&node);
+        let sum = |which: fn(&Press) -> bool| -> f64 {
+            seen.iter().flat_map(|s| s.iter()).filter(|p| which(p)).map(|p| p.work).sum()
+        };
+        let all = sum(|_| true).max(1e-9);
+        Shares { told: sum(|p| p.told) / all, writes: sum(|p| p.write) / all, again: sum(|p| p.again) / all }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn only_the_window_counts_and_shares_are_of_work() {
+        let mut pressure = Pressure::new(2_000_000);
+        let press = |at, work, told| Press { at, work, told, write: false, again: !told };
+        pressure.add(7, press(0, 9.0, false));
+        pressure.add(7, press(2_500_000, 3.0, true));
+        pressure.add(7, press(2_600_000, 1.0, false));
+        let shares = pressure.shares(7);
+        assert_eq!(shares, Shares { told: 0.75, writes: 0.0, again: 0.25 });
+        assert!(shares.theirs());
+        pressure.add(7, press(2_700_000, 1.0, false));
+        assert!(!pressure.shares(7).theirs(), "three of five is under two thirds");
+        pressure.clear(7);
+        assert!(!pressure.shares(7).theirs());
+    }
+}
--- a/fleet/src/spec.rs
+++ b/fleet/src/spec.rs
@@ -124,11 +124,29 @@
     pub role_s: (f64, f64),
     /// Seconds by which routers hear it apart from each other, at the most.
     pub spread_s: f64,
+    /// Calls that the service answers in a second, of all routers; 0 for any number. A call that would have to wait for
+    /// longer than `call_wait_s` fails, and is made again after a pause that grows.
+    #[serde(skip_serializing_if = "unset")]
+    pub calls_per_s: f64,
+    /// How long a call waits in turn (s).
+    #[serde(skip_serializing_if = "unset")]
+    pub call_wait_s: f64,
+}
+
+fn unset(figure: &f64) -> bool {
+    *figure == 0.0
 }
 
 impl Default for ListSpec {
     fn default() -> Self {
-        ListSpec { notice_s: (0.7, 4.2), add_s: (0.9, 2.2), role_s: (2.1, 4.3), spread_s: 0.3 }
+        ListSpec {
+            notice_s: (0.7, 4.2),
+            add_s: (0.9, 2.2),
+            role_s: (2.1, 4.3),
+            spread_s: 0.3,
+            calls_per_s: 0.0,
+            call_wait_s: 0.0,
+        }
     }
 }
 
@@ -154,6 +172,9 @@
     pub gap_ms: f64,
     /// The spread of the routers' traffic: the ratio of the busiest to the mean, 1 for all alike.
     pub skew: f64,
+    /// How uneven the groups' traffic is: the n-th of them is asked for n to the power of minus this; 0 for all alike.
+    #[serde(skip_serializing_if = "unset")]
+    pub group_skew: f64,
 }
 
 impl Default for ClientSpec {
@@ -168,6 +189,7 @@
             follows_write: 0.65,
             gap_ms: 400.0,
             skew: 1.0,
+            group_skew: 0.0,
         }
     }
 }
@@ -292,6 +314,14 @@
         /// How many times.
         times: f64,
     },
+    /// A share of a zone's nodes is drained and handed over; other machines take their places, cold and under new names.
+    Replace {
+        /// The zone.
+        zone: String,
+        /// Which share.
+        #[serde(default = "one")]
+        part: f64,
+    },
     /// A share of a zone's nodes is drained, handed over, and taken out; they come back cold.
     Drain {
         /// The zone.
@@ -409,6 +439,12 @@
         if !(self.clients.load > 0.0 && self.clients.load < 10.0) {
             return fault("clients.load: expected more than 0 and less than 10".into());
         }
+        if !(0.0..=4.0).contains(&self.clients.group_skew) {
+            return fault("clients.group_skew: expected 0 to 4".into());
+        }
+        if !(self.list.calls_per_s >= 0.0 && self.list.call_wait_s >= 0.0) {
+            return fault("list: expected calls_per_s and call_wait_s of 0 or more".into());
+        }
         if self.clients.bursts.iter().any(|b| !(b.2 > 0.0 && b.2 <= 20.0)) {
             return fault("clients.bursts: expected times over 0, up to 20".into());
         }
@@ -428,6 +464,7 @@
                 Trouble::ZoneDown { zone, .. }
                 | Trouble::BlackHole { zone, .. }
                 | Trouble::RoutersDown { zone }
+                | Trouble::Replace { zone, .. }
                 | Trouble::Drain { zone, .. } => vec![zone],
                 Trouble::Cut { from, to } => vec![from, to],
                 Trouble::ListSilent { zone } if !zone.is_empty() => vec![zone],
