Stand-ins: the circle between agent, node and fleet is gone

Reason: the agent knew nodes, nodes knew the fleet, and the fleet both; the rig of routers that know each other needs each alone. Change: what nodes share has a module of its own (shared.rs), the agent takes plain entries, the fleet puts them together.

--- a/standin/src/agent.rs
+++ b/standin/src/agent.rs
@@ -1,6 +1,5 @@
 //! The agent of the node list: HTTP on loopback, the whole list or a watch for a newer one.
 
-use crate::node::Node;
 use plovercove::Time;
 use serde_json::{Value, json};
 use std::io::{self, BufRead, BufReader, Write};
@@ -11,6 +10,18 @@
 /// A watch lasts no longer.
 const LONGEST: Duration = Duration::from_secs(60);
 
+/// One node of the list.
+pub(crate) struct Entry {
+    pub(crate) name: String,
+    pub(crate) address: SocketAddr,
+    pub(crate) zone: String,
+    /// Its group, as the list counts them.
+    pub(crate) group: u64,
+    pub(crate) head: bool,
+    /// Since when it runs, if it is not for long.
+    pub(crate) started: Option<Time>,
+}
+
 #[derive(Default)]
 struct Told {
     version: u64,
@@ -26,11 +37,10 @@
 pub(crate) struct Agent {
     pub(crate) address: SocketAddr,
     board: Arc<Board>,
-    zones: Vec<String>,
 }
 
 impl Agent {
-    pub(crate) fn start(zones: Vec<String>) -> io::Result<Self> {
+    pub(crate) fn start() -> io::Result<Self> {
         let listener = TcpListener::bind(("127.0.0.1", 0))?;
         let address = listener.local_addr()?;
         let board = Arc::new(Board { told: Mutex::default(), news: Condvar::new() });
@@ -41,21 +51,21 @@
                 std::thread::spawn(move || drop(serve(connection, &board)));
             }
         });
-        Ok(Agent { address, board, zones })
+        Ok(Agent { address, board })
     }
 
-    /// From now on this is the list: node, whether it is primary, and since when it runs.
-    pub(crate) fn tell(&self, nodes: Vec<(Arc<Node>, bool, Option<Time>)>) {
-        let entry = |(node, head, started): (Arc<Node>, bool, Option<Time>)| {
+    /// From now on this is the list.
+    pub(crate) fn tell(&self, nodes: impl Iterator<Item = Entry>) {
+        let entry = |e: Entry| {
             json!({
-                "name": node.name, "address": node.address.to_string(), "zone": self.zones[node.zone], "type": "std",
-                "group": node.group + 1, "status": "active", "weight": 1.0, "since_ms": started.unwrap_or(0) / 1_000,
-                "replication": if head { "primary" } else { "standby" },
+                "name": e.name, "address": e.address.to_string(), "zone": e.zone, "type": "std", "group": e.group,
+                "status": "active", "weight": 1.0, "since_ms": e.started.unwrap_or(0) / 1_000,
+                "replication": if e.head { "primary" } else { "standby" },
             })
         };
         let mut told = self.board.told.lock().unwrap_or_else(PoisonError::into_inner);
         told.version += 1;
-        told.entries = nodes.into_iter().map(entry).collect();
+        told.entries = nodes.map(entry).collect();
         drop(told);
         self.board.news.notify_all();
     }
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod process;
 pub mod rough;
 pub mod server;
+mod shared;
 mod wire;
 
 pub use client::{Caller, Clients, Fate, Sample};
--- a/standin/src/node.rs
+++ b/standin/src/node.rs
@@ -1,6 +1,6 @@
 //! One db node: a listener, a thread for each connection, and the model's machine between them.
 
-use crate::fleet::Shared;
+use crate::shared::Shared;
 use crate::wire;
 use plovercove::Time;
 use plovercove_fleet::node::{Machine, Offer};
