--- a/standin/src/agent.rs
+++ b/standin/src/agent.rs
@@ -1,8 +1,9 @@
 //! The agent of the node list: HTTP on loopback, the whole list or a watch for a newer one.
 
+use crate::wire;
 use plovercove::Time;
 use serde_json::{Value, json};
-use std::io::{self, BufRead, BufReader, Write};
+use std::io::{self, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -81,19 +82,7 @@
     let mut reader = BufReader::new(connection.try_clone()?);
     let mut writer = connection;
     loop {
-        let mut first = String::new();
-        if reader.read_line(&mut first)? == 0 {
-            return Ok(());
-        }
-        loop {
-            let mut header = String::new();
-            if reader.read_line(&mut header)? == 0 {
-                return Ok(());
-            }
-            if header.trim().is_empty() {
-                break;
-            }
-        }
+        let Some(first) = wire::request(&mut reader)? else { return Ok(()) };
         let after = number(&first, "after").unwrap_or(0);
         let wait = Duration::from_millis(number(&first, "wait_ms").unwrap_or(0)).min(LONGEST);
         let until = Instant::now() + wait;
--- a/standin/src/node.rs
+++ b/standin/src/node.rs
@@ -115,12 +115,7 @@
 
     fn talk(&self, mut stream: TcpStream, epoch: u32, shared: &Shared) -> io::Result<()> {
         stream.set_nodelay(true)?;
-        wire::startup(&mut stream)?;
-        let mut out = Vec::new();
-        wire::put(&mut out, b'R', &[0; 4]);
-        wire::put_status(&mut out, "replication_role", self.role(shared));
-        wire::put_ready(&mut out);
-        stream.write_all(&out)?;
+        wire::welcome(&mut stream, self.role(shared))?;
         loop {
             let (kind, body) = wire::message(&mut stream)?;
             if kind != b'Q' {
--- a/standin/src/rough.rs
+++ b/standin/src/rough.rs
@@ -3,7 +3,7 @@
 
 use crate::wire;
 use std::collections::HashMap;
-use std::io::{self, BufRead, BufReader, Read, Write};
+use std::io::{self, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
@@ -85,15 +85,7 @@
         let mut reader = BufReader::new(connection.try_clone()?);
         let mut writer = connection;
         loop {
-            let mut first = String::new();
-            if reader.read_line(&mut first)? == 0 {
-                return Ok(());
-            }
-            let mut header = String::from("?");
-            while !header.trim().is_empty() {
-                header.clear();
-                reader.read_line(&mut header)?;
-            }
+            let Some(first) = wire::request(&mut reader)? else { return Ok(()) };
             calls.lock().unwrap_or_else(PoisonError::into_inner).push(first.trim().to_string());
             let mut left = script.0.lock().unwrap_or_else(PoisonError::into_inner);
             let says = loop {
@@ -202,13 +194,8 @@
             Manner::Silent => return stream.read_to_end(&mut Vec::new()).map(drop),
             _ => {}
         }
-        wire::startup(&mut stream)?;
         let role = if primary { "primary" } else { "standby" };
-        let mut out = Vec::new();
-        wire::put(&mut out, b'R', &[0; 4]);
-        wire::put_status(&mut out, "replication_role", role);
-        wire::put_ready(&mut out);
-        stream.write_all(&out)?;
+        wire::welcome(&mut stream, role)?;
         loop {
             let (kind, body) = wire::message(&mut stream)?;
             if kind != b'Q' {
--- a/standin/src/wire.rs
+++ b/standin/src/wire.rs
@@ -1,6 +1,6 @@
 //! As much of the PostgreSQL wire protocol, version 3, as both sides need.
 
-use std::io::{self, ErrorKind, Read, Write};
+use std::io::{self, BufRead, ErrorKind, Read, Write};
 use std::net::TcpStream;
 
 /// No message is longer.
@@ -61,6 +61,32 @@
     put(out, b'Z', b"I");
 }
 
+/// Takes a client in as a server does: its startup, and a greeting that tells the node's role.
+pub fn welcome(stream: &mut TcpStream, role: &str) -> io::Result<()> {
+    startup(stream)?;
+    let mut out = Vec::new();
+    put(&mut out, b'R', &[0; 4]);
+    put_status(&mut out, "replication_role", role);
+    put_ready(&mut out);
+    stream.write_all(&out)
+}
+
+/// Reads an HTTP request's head; its first line, or none where the connection is at its end.
+pub fn request(reader: &mut impl BufRead) -> io::Result<Option<String>> {
+    let mut first = String::new();
+    if reader.read_line(&mut first)? == 0 {
+        return Ok(None);
+    }
+    let mut header = String::from("?");
+    while !header.trim().is_empty() {
+        header.clear();
+        if reader.read_line(&mut header)? == 0 {
+            return Ok(None);
+        }
+    }
+    Ok(Some(first))
+}
+
 /// Sends a startup packet for `worker` at `catalog`.
 pub fn greet(stream: &mut TcpStream) -> io::Result<()> {
     let mut packet = 196_608_u32.to_be_bytes().to_vec();
