The model's world by concern: clients, routers, links, nodes, list, faults, summary

Each concern has a file of its own under fleet/src/world/ (55 to 240 lines), with the constants that only it uses; world.rs keeps state, events and time (480).

--- /dev/null
+++ b/fleet/src/world/clients.rs
@@ -0,0 +1,179 @@
+//! The clients: what they ask, when they come back, and what each try must get.
+
+use super::{BEGIN, Event, Request, SESSIONS, World, us};
+use crate::rules::Rule;
+use crate::spec::Reads;
+use plovercove::{Demand, Span, Time};
+use plovercove_core::Key;
+use rand::RngExt;
+use rand_distr::{Distribution, Exp};
+
+impl World<'_> {
+    pub(super) fn next_arrival(&mut self, router: u32) {
+        let second = self.second();
+        let bursts = self.spec.clients.bursts.iter().filter(|b| (b.0..b.1).contains(&second));
+        let rate = self.routers[router as usize].rate * bursts.map(|b| b.2).product::<f64>();
+        if rate <= 0.0 {
+            return;
+        }
+        let gap = Exp::new(rate).expect("positive").sample(&mut self.dice);
+        if self.now + us(gap) < self.end {
+            self.at(self.now + us(gap), Event::Arrive(router));
+        }
+    }
+
+    pub(super) fn arrive(&mut self, router: u32) {
+        self.next_arrival(router);
+        let mut draw = self.dice.random::<f64>();
+        let class = self.shares.iter().position(|share| {
+            draw -= share;
+            draw < 0.0
+        });
+        let class = class.unwrap_or(self.shares.len() - 1);
+        let group = if self.popular.is_empty() {
+            self.dice.random_range(0..self.groups.len())
+        } else {
+            let draw = self.dice.random::<f64>();
+            self.popular.iter().position(|up_to| draw < *up_to).unwrap_or(self.groups.len() - 1)
+        };
+        let session = self.dice.random_range(0..SESSIONS) as u32;
+        let follows = self.spec.classes[class].reads == Reads::Session
+            && self.dice.random::<f64>() < self.spec.clients.follows_write;
+        let need = follows.then(|| {
+            let gap = Exp::new(1e3 / self.spec.clients.gap_ms).expect("positive").sample(&mut self.dice);
+            self.groups[group].0.commit_before(self.now.saturating_sub(us(gap)))
+        });
+        let worth = self.spec.classes[class].worth;
+        let second = self.second();
+        self.seconds[second as usize].asked += worth;
+        self.counted.requests += 1;
+        self.counted.asked += worth;
+        if self.spec.window.is_some_and(|(from, to)| (from..to).contains(&second)) {
+            self.counted.window.0 += worth;
+        }
+        let request = self.requests.insert(Request {
+            router,
+            class: class as u32,
+            group: group as u32,
+            session,
+            born: self.now,
+            need: need.flatten(),
+            tries: 0,
+            awaiting: None,
+            key: None,
+            ran: 0,
+            over: false,
+            holds: 0,
+        });
+        self.attempt(request as u32);
+    }
+
+    /// A client's try. Where its router is down, it goes to another.
+    pub(super) fn attempt(&mut self, id: u32) {
+        let class = self.requests[id as usize].class as usize;
+        let told = &self.spec.classes[class];
+        let patience = self.uniform((self.spec.clients.patience, 1.0));
+        let deadline = told.deadline_ms * 1_000;
+        let r = &self.requests[id as usize];
+        let left = ((deadline as f64 * patience) as Span).min((r.born + deadline).saturating_sub(self.now));
+        let mut router = r.router;
+        if self.routers[router as usize].core.is_none() {
+            let up: Vec<u32> =
+                (0..self.routers.len() as u32).filter(|n| self.routers[*n as usize].core.is_some()).collect();
+            if up.is_empty() || left < 20_000 {
+                return self.lose(id);
+            }
+            router = up[self.dice.random_range(0..up.len())];
+        }
+        if left < 20_000 {
+            return self.lose(id);
+        }
+        let r = &mut self.requests[id as usize];
+        r.tries += 1;
+        r.awaiting = Some(self.now + left);
+        r.router = router;
+        let reads = told.reads;
+        let keyed = matches!(reads, Reads::Session | Reads::Write);
+        let demand = Demand {
+            class,
+            session: keyed.then(|| self.sessions[r.group as usize][r.session as usize].clone()),
+            left,
+            group: u64::from(r.group) + 1,
+            write_age: r.need.map(|at| self.now - at),
+            ..Demand::default()
+        };
+        let core = self.routers[router as usize].core.as_mut().expect("chosen among those that run");
+        let key = core.request(Key::from_number(u64::from(id)), demand);
+        self.requests[id as usize].key = Some(key);
+        self.settle(router);
+    }
+
+    /// A client was answered without a value, or lost its router.
+    pub(super) fn unserved(&mut self, id: u32, harmless: bool, told: Option<Span>) {
+        let r = &self.requests[id as usize];
+        let safe = harmless || self.spec.classes[r.class as usize].reads != Reads::Write;
+        if !safe || r.tries > self.spec.clients.retries {
+            return self.lose(id);
+        }
+        let usual = self.spec.clients.backoff_ms * 1e3;
+        let spread = self.uniform((0.5, 1.5));
+        let follows = self.dice.random::<f64>() < self.spec.clients.follow;
+        let wait = match told {
+            Some(told) if follows => told as f64,
+            _ => usual * spread,
+        };
+        self.requests[id as usize].holds += 1;
+        self.at(self.now + wait as Time, Event::Retry(id));
+    }
+
+    pub(super) fn lose(&mut self, id: u32) {
+        self.requests[id as usize].over = true;
+        self.release(id);
+    }
+
+    /// The one place where a request's slot is given back.
+    pub(super) fn release(&mut self, id: u32) {
+        let r = &self.requests[id as usize];
+        if r.over && r.holds == 0 {
+            self.requests.remove(id as usize);
+        }
+    }
+
+    /// A final answer: exactly one, in time.
+    pub(super) fn answered(&mut self, id: u32, what: &'static str) -> bool {
+        let second = self.second();
+        let Some(r) = self.requests.get_mut(id as usize) else {
+            self.breaches.add(Rule::SecondAnswer, second, || format!("{what} for a request that is over"));
+            return false;
+        };
+        let Some(due) = r.awaiting.take() else {
+            self.breaches.add(Rule::SecondAnswer, second, || format!("{what} once more"));
+            return false;
+        };
+        r.key = None;
+        if self.now > due + 100_000 {
+            let late = (self.now - due) / 1_000;
+            self.breaches.add(Rule::NoAnswer, second, || format!("{what} {late} ms late"));
+        }
+        true
+    }
+
+    pub(super) fn served(&mut self, id: u32) {
+        if !self.answered(id, "served") {
+            return;
+        }
+        let r = &mut self.requests[id as usize];
+        r.over = true;
+        let class = &self.spec.classes[r.class as usize];
+        let took = self.now - r.born;
+        let worth = class.worth * if took <= class.aim_ms * 1_000 { 1.0 } else { class.late };
+        let born = (r.born - BEGIN) as f64 / 1e6;
+        let _ = self.latencies.record(took.max(1));
+        self.counted.in_time += worth;
+        self.seconds[born as usize].in_time += worth;
+        if self.spec.window.is_some_and(|(from, to)| (from..to).contains(&born)) {
+            self.counted.window.1 += worth;
+        }
+        self.release(id);
+    }
+}
--- /dev/null
+++ b/fleet/src/world/faults.rs
@@ -0,0 +1,148 @@
+//! What goes wrong, by script: where it begins and where it ends.
+
+use super::{Event, World, us};
+use crate::spec::Trouble;
+use plovercove::Listed;
+use rand::RngExt;
+
+impl World<'_> {
+    pub(super) fn pick(&mut self, zone: Option<usize>, part: f64) -> Vec<u32> {
+        let mut nodes: Vec<u32> = (0..self.nodes.len() as u32)
+            .filter(|n| zone.is_none_or(|z| self.nodes[*n as usize].zone == z))
+            .collect();
+        let count = (nodes.len() as f64 * part).round() as usize;
+        while nodes.len() > count {
+            nodes.remove(self.dice.random_range(0..nodes.len()));
+        }
+        nodes
+    }
+
+    pub(super) fn place(&self, name: &str) -> usize {
+        self.spec.zones.iter().position(|z| z.name == name).expect("checked")
+    }
+
+    pub(super) fn begin(&mut self, n: usize) {
+        match self.spec.faults[n].what.clone() {
+            Trouble::ZoneDown { zone, part } => {
+                let nodes = self.pick(Some(self.place(&zone)), part);
+                nodes.iter().for_each(|node| self.node_down(*node));
+                self.list_nodes(&nodes, Listed::Gone, self.spec.list.notice_s);
+                self.picked[n] = nodes;
+            }
+            Trouble::Drain { zone, part } | Trouble::Replace { zone, part } => {
+                let nodes = self.pick(Some(self.place(&zone)), part);
+                self.list_nodes(&nodes, Listed::Draining, (0.0, 0.1));
+                for node in &nodes {
+                    let (group, member) =
+                        (self.nodes[*node as usize].group, self.nodes[*node as usize].member);
+                    let now = self.now;
+                    if self.groups[group].0.primary() == Some(member) {
+                        self.groups[group].0.lose_primary(now);
+                        let wait = self.uniform((0.31, 0.91));
+                        self.at(now + us(wait), Event::Elect(group as u32));
+                    }
+                    self.groups[group].0.sever(member, now);
+                }
+                self.picked[n] = nodes;
+            }
+            Trouble::BlackHole { zone, .. } => {
+                let zone = self.place(&zone);
+                self.cut_zone(zone, true);
+                for node in 0..self.nodes.len() {
+                    if self.nodes[node].zone == zone {
+                        self.leaves(self.nodes[node].group, self.nodes[node].member);
+                    }
+                }
+            }
+            Trouble::Cut { from, to } => {
+                let (from, to) = (self.place(&from), self.place(&to));
+                self.to_node[from][to] += 1;
+            }
+            Trouble::ListSilent { zone } => self.silence(&zone, true),
+            Trouble::RoutersDown { zone } => {
+                let zone = self.place(&zone);
+                for router in self.routers_of(zone) {
+                    self.stop(router);
+                }
+            }
+            Trouble::Rollout { down_s } => {
+                let (at, until) = (self.spec.faults[n].at, self.spec.faults[n].until);
+                let gap = (until - at) / self.routers.len() as f64;
+                for router in 0..self.routers.len() as u32 {
+                    let stop = self.now + us(gap * f64::from(router));
+                    self.at(stop, Event::Stop(router));
+                    self.at(stop + us(down_s), Event::Start(router));
+                }
+            }
+            Trouble::Slow { part, times } => {
+                let nodes = self.pick(None, part);
+                nodes.iter().for_each(|node| self.nodes[*node as usize].machine.slow(times));
+                self.picked[n] = nodes;
+            }
+        }
+    }
+
+    pub(super) fn finish(&mut self, n: usize) {
+        match self.spec.faults[n].what.clone() {
+            Trouble::ZoneDown { .. } => {
+                let nodes = std::mem::take(&mut self.picked[n]);
+                nodes.iter().for_each(|node| self.node_up(*node));
+                let up: Vec<u32> = nodes.into_iter().filter(|n| self.nodes[*n as usize].up).collect();
+                self.list_nodes(&up, Listed::Serving, self.spec.list.add_s);
+            }
+            Trouble::Drain { .. } => {
+                let nodes = std::mem::take(&mut self.picked[n]);
+                for node in &nodes {
+                    self.node_down(*node);
+                    self.node_up(*node);
+                }
+                self.list_nodes(&nodes, Listed::Serving, self.spec.list.add_s);
+            }
+            Trouble::Replace { .. } => {
+                for node in std::mem::take(&mut self.picked[n]) {
+                    self.node_down(node);
+                    let gone = self.entry(node, Listed::Gone);
+                    self.rename(node);
+                    self.node_up(node);
+                    let after = self.uniform(self.spec.list.add_s);
+                    let came = self.entry(node, Listed::Serving);
+                    self.will_change(after, vec![gone, came]);
+                }
+            }
+            Trouble::BlackHole { zone, cold } => {
+                let zone = self.place(&zone);
+                self.cut_zone(zone, false);
+                let nodes: Vec<u32> =
+                    (0..self.nodes.len() as u32).filter(|n| self.nodes[*n as usize].zone == zone).collect();
+                let now = self.now;
+                for node in &nodes {
+                    let known = &self.nodes[*node as usize];
+                    self.groups[known.group].0.rejoin(known.member, now);
+                    if cold {
+                        self.node_down(*node);
+                        self.node_up(*node);
+                    }
+                }
+                if cold {
+                    self.list_nodes(&nodes, Listed::Serving, self.spec.list.add_s);
+                }
+            }
+            Trouble::Cut { from, to } => {
+                let (from, to) = (self.place(&from), self.place(&to));
+                self.to_node[from][to] -= 1;
+            }
+            Trouble::ListSilent { zone } => self.silence(&zone, false),
+            Trouble::RoutersDown { zone } => {
+                let zone = self.place(&zone);
+                for router in self.routers_of(zone) {
+                    self.at(self.now, Event::Start(router));
+                }
+            }
+            Trouble::Rollout { .. } => {}
+            Trouble::Slow { .. } => {
+                let nodes = std::mem::take(&mut self.picked[n]);
+                nodes.iter().for_each(|node| self.nodes[*node as usize].machine.slow(1.0));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/world/routers.rs
@@ -0,0 +1,192 @@
+//! The routers: each is the real core, told the time, its commands carried out.
+
+use super::{BEGIN, Event, World, us};
+use crate::spec::{SpecFault, Variant};
+use crate::strict::Strict;
+use plovercove::{ListUpdate, NodeId, Role, Standing};
+use plovercove_core::{Answer, Command, Core, Due};
+use plovercove_tiers::Tiers;
+
+/// Rounds of decisions on one event.
+const ROUNDS: usize = 16;
+
+impl World<'_> {
+    pub(super) fn boot(&mut self, router: usize) -> Result<(), SpecFault> {
+        let zone = self.routers[router].zone;
+        let name = &self.spec.zones[zone].name;
+        let (settings, epoch) = (self.settings[router].clone(), self.routers[router].epoch);
+        let seed = self.seed ^ ((router as u64 + 1) << 20) ^ (u64::from(epoch) << 50);
+        let core = Core::new(settings.clone(), seed);
+        let mut core = match self.spec.variant {
+            Variant::Flat => core,
+            Variant::Strict => core.zoned(Box::new(Strict::new(name))),
+            Variant::Tiers => {
+                let tiers = Tiers::new(self.spec.rules(), &settings, seed);
+                core.zoned(Box::new(tiers.map_err(|e| SpecFault(format!("tiers.{e}")))?))
+            }
+        };
+        // What it had last. It may be old.
+        let told = self.routers[router].told;
+        let known = self.list_at(told);
+        let starts = known.iter().filter_map(|e| Some((self.names[&e.node], e.started?))).collect();
+        core.list(ListUpdate::Restored(known));
+        self.routers[router].core = Some(core);
+        self.routers[router].closed.clear();
+        self.routers[router].starts = starts;
+        if self.now > BEGIN {
+            self.call(router as u32);
+        } else {
+            let list = self.list_at(0);
+            self.routers[router].core.as_mut().expect("just made").list(ListUpdate::Full(list));
+        }
+        self.settle(router as u32);
+        Ok(())
+    }
+
+    pub(super) fn stop(&mut self, router: u32) {
+        let r = &mut self.routers[router as usize];
+        if r.core.take().is_none() {
+            return;
+        }
+        r.epoch += 1;
+        r.wake = None;
+        let pools = std::mem::replace(&mut r.pools, vec![(0, 0); self.nodes.len()]);
+        let attempts = std::mem::take(&mut r.attempts);
+        for (node, (epoch, idle)) in self.nodes.iter_mut().zip(pools) {
+            if node.epoch == epoch {
+                node.connections = node.connections.saturating_sub(idle);
+            }
+        }
+        let mut runs: Vec<u32> = attempts.into_values().collect();
+        runs.sort_unstable();
+        for run in runs {
+            self.abandon(run);
+        }
+        let held: Vec<u32> = self
+            .requests
+            .iter()
+            .filter(|(_, r)| r.awaiting.is_some() && r.router == router)
+            .map(|(id, _)| id as u32)
+            .collect();
+        for id in held {
+            let r = &mut self.requests[id as usize];
+            (r.awaiting, r.key) = (None, None);
+            self.unserved(id, false, None);
+        }
+    }
+
+    pub(super) fn live(&mut self, router: u32, epoch: u32) -> Option<&mut Core> {
+        let r = &mut self.routers[router as usize];
+        r.core.as_mut().filter(|_| r.epoch == epoch)
+    }
+
+    pub(super) fn wake(&mut self, router: u32) {
+        let now = self.now;
+        let r = &mut self.routers[router as usize];
+        if r.wake.is_none_or(|at| at > now) {
+            return;
+        }
+        r.wake = None;
+        let Some(core) = &mut r.core else { return };
+        while let Some(due) = core.deadlines.pop(now) {
+            match due {
+                Due::Wake => core.wake(),
+                Due::Attempt(id) => core.timed_out(id, now),
+                _ => {}
+            }
+        }
+        self.settle(router);
+    }
+
+    /// Lets a router decide on what has come, and carries that out.
+    pub(super) fn settle(&mut self, router: u32) {
+        for _ in 0..ROUNDS {
+            let now = self.now;
+            let Some(core) = &mut self.routers[router as usize].core else { return };
+            let commands = core.decide(now);
+            if commands.is_empty() {
+                break;
+            }
+            for command in commands {
+                self.carry_out(router, command);
+            }
+        }
+        let r = &mut self.routers[router as usize];
+        let Some(next) = r.core.as_ref().and_then(|c| c.deadlines.next()) else { return };
+        if r.wake.is_none_or(|at| next < at) {
+            r.wake = Some(next);
+            self.at(next, Event::Wake(router));
+        }
+    }
+
+    pub(super) fn carry_out(&mut self, router: u32, command: Command) {
+        match command {
+            Command::Send { attempt, origin, node } => self.send(router, attempt, origin, &node),
+            Command::GiveUp { attempt, .. } => {
+                if let Some(run) = self.routers[router as usize].attempts.remove(&attempt) {
+                    self.abandon(run);
+                }
+            }
+            Command::Probe(node) => self.probe(router, &node),
+            Command::CloseIdle(node) => {
+                let Some(&node) = self.names.get(&node) else { return };
+                let pool = &mut self.routers[router as usize].pools[node as usize];
+                let known = &mut self.nodes[node as usize];
+                if pool.0 == known.epoch {
+                    known.connections = known.connections.saturating_sub(pool.1);
+                }
+                pool.1 = 0;
+            }
+            Command::Answer { origin, answer, .. } => {
+                let id = origin.number() as u32;
+                let second = (self.second() as usize).min(self.seconds.len() - 1);
+                match answer {
+                    Answer::Refused(told) => {
+                        self.seconds[second].refused += 1;
+                        if self.answered(id, "refused") {
+                            self.unserved(id, true, told);
+                        }
+                    }
+                    Answer::Failed => {
+                        self.seconds[second].failed += 1;
+                        if self.answered(id, "failed") {
+                            self.unserved(id, false, None);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn routers_of(&self, zone: usize) -> Vec<u32> {
+        (0..self.routers.len() as u32).filter(|r| self.routers[*r as usize].zone == zone).collect()
+    }
+
+    pub(super) fn probe(&mut self, router: u32, node: &NodeId) {
+        let Some(&node) = self.names.get(node) else { return };
+        let epoch = self.routers[router as usize].epoch;
+        match self.out(router, node) {
+            Some(wait) => self.at(self.now + wait, Event::ProbeAt { router, epoch, node }),
+            None => {
+                let timeout = self.settings[router as usize].connect_timeout;
+                self.at(self.now + timeout, Event::ProbeBack { router, epoch, node, told: None });
+            }
+        }
+    }
+
+    pub(super) fn probe_at(&mut self, router: u32, epoch: u32, node: u32) {
+        let known = &self.nodes[node as usize];
+        let (group, member, up) = (known.group, known.member, known.up);
+        // A report is as old as its last refresh.
+        let old = us(self.uniform((0.0, 0.15)));
+        let log = &mut self.groups[group].0;
+        let role = if log.primary() == Some(member) { Role::Primary } else { Role::Replica };
+        let position = Some(log.position(member, self.now).saturating_sub(old));
+        let machine = &self.nodes[node as usize].machine;
+        let (held, busy) = (machine.held() as u32, (machine.busy() * 1e3) as u32);
+        let told = up.then_some(Standing { position, role: Some(role), held: Some(held), busy: Some(busy) });
+        if let Some(wait) = self.home(router, node) {
+            self.at(self.now + wait, Event::ProbeBack { router, epoch, node, told });
+        }
+    }
+}
