--- a/src/balance.rs
+++ b/src/balance.rs
@@ -866,8 +866,8 @@
         }
         let mut queue: Vec<RequestId> = self.waiting.iter().copied().collect();
         // Most worth per unit of work first, then the oldest.
-        let rank = |id: &RequestId| (self.value(&self.requests[id]), self.requests[id].born);
-        queue.sort_by(|a, b| rank(b).0.total_cmp(&rank(a).0).then(rank(a).1.cmp(&rank(b).1)).then(a.cmp(b)));
+        let rank = |r: &Request| (std::cmp::Reverse(self.value(r).to_bits()), r.born);
+        queue.sort_by_cached_key(|id| (rank(&self.requests[id]), *id));
         for id in queue {
             self.place(id, actions);
             let r = &self.requests[&id];
