Routers among their peers: membership, records of what each saw, verdicts, without I/O or clock

Each router learned alone that a node is bad, at the price of attempts of its own; one that sees only its own broken link holds the node for dead. peers/: SWIM by foca on a clock that stands still while the router does, records versioned by origin, start and sequence that end by age and are repaired by comparison, verdicts as a pure function of fresh records (two observers, two zones, self-blame, a third of a group, no primary by slowness), trials by three routers chosen by hash, datagrams of at most 1,200 bytes with a BLAKE3 tag, replays and late ones told apart without comparing clocks. It stands before the module as what says how much a node counts. The fuzzed decoder found a subtraction that overflowed on a peer's stamp.

--- /dev/null
+++ b/peers/src/ledger.rs
@@ -0,0 +1,291 @@
+//! What one router saw of each db node's present life, and when that is worth telling the others.
+
+use crate::rules::{HOLD, Rules};
+use plovercove::{Ending, ListUpdate, Listed, NodeId, Span, Time};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// A sample of slowness counts for so much in a running mean: some ten samples of memory.
+const GAIN: f64 = 0.1;
+/// Answers before a node's slowness says anything.
+const SAMPLES: u32 = 5;
+/// Slower than others by so many times is worth telling.
+const SLOW: f64 = 3.0;
+/// Routers that answer an accusation with what they saw themselves, of all: enough to outvote a few.
+const ANSWER: f64 = 16.0;
+/// So much of a faded count is still one sight.
+const SIGHT: f64 = 0.5;
+
+/// What a router saw of a node: counts that fade by half in a third of the evidence's life.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seen {
+    /// Requests that it answered, in tenths.
+    pub answers: u16,
+    /// Errors, in tenths.
+    pub errors: u16,
+    /// Time-outs and connections that broke, in tenths.
+    pub silent: u16,
+    /// Connections that did not come up, in tenths.
+    pub unreachable: u16,
+    /// Writes that it turned away as no primary, in tenths.
+    pub denies: u16,
+    /// How many times slower than other nodes it answers, in tenths; 0 where too few were seen.
+    pub slow: u16,
+    /// For how long it has been so, failing or slow, when this was told, in tenths of a second.
+    pub lasted: u16,
+    /// Of how many nodes the router saw anything ...
+    pub nodes: u16,
+    /// ... and how many of them fail.
+    pub failing: u16,
+}
+
+impl Seen {
+    /// Failures of all kinds.
+    pub fn failures(&self) -> f64 {
+        f64::from(self.errors) / 10.0 + f64::from(self.silent) / 10.0 + f64::from(self.unreachable) / 10.0
+    }
+
+    /// Whether it fails more than it answers.
+    pub fn fails(&self) -> bool {
+        self.failures() >= SIGHT && self.failures() >= f64::from(self.answers) / 10.0
+    }
+
+    /// Whether it answers.
+    pub fn serves(&self) -> bool {
+        !self.fails() && f64::from(self.answers) / 10.0 >= SIGHT
+    }
+
+    /// For how long it had been so when this was told (us).
+    pub fn lasted(&self) -> Span {
+        Span::from(self.lasted) * 100_000
+    }
+
+    /// How many times slower than others it answers; none where too few were seen.
+    pub fn slowness(&self) -> Option<f64> {
+        (self.slow > 0).then_some(f64::from(self.slow) / 10.0)
+    }
+}
+
+#[derive(Default)]
+struct Node {
+    started: Option<Time>,
+    at: Time,
+    /// Answers, errors, silences, refused connections, denials; faded up to `at`.
+    counts: [f64; 5],
+    /// Running mean of the logarithm of its slowness.
+    slow: f64,
+    samples: u32,
+    told: Option<(Time, Seen)>,
+    /// Since when it fails or is slow.
+    since: Option<Time>,
+}
+
+impl Node {
+    fn fade(&mut self, now: Time, half: f64) {
+        let passed = now.saturating_sub(self.at) as f64;
+        let factor = 0.5_f64.powf(passed / half);
+        self.counts.iter_mut().for_each(|count| *count *= factor);
+        self.at = now;
+    }
+
+    fn seen(&self, now: Time, half: f64) -> Seen {
+        let factor = 0.5_f64.powf(now.saturating_sub(self.at) as f64 / half);
+        let tenths = |count: f64| (count * factor * 10.0).round().min(65_535.0) as u16;
+        let [answers, errors, silent, unreachable, denies] = self.counts.map(tenths);
+        let slow = if self.samples >= SAMPLES {
+            (self.slow.exp() * 10.0).round().clamp(1.0, 60_000.0) as u16
+        } else {
+            0
+        };
+        Seen { answers, errors, silent, unreachable, denies, slow, ..Seen::default() }
+    }
+}
+
+/// What a router saw.
+pub struct Ledger {
+    nodes: BTreeMap<NodeId, Node>,
+    /// Mean time of an answer by class (us).
+    usual: Vec<f64>,
+    half: f64,
+    /// Until then failures may be this router's own: it was stopped.
+    doubts: Time,
+}
+
+impl Ledger {
+    /// A ledger for so many classes.
+    pub fn new(rules: &Rules, classes: usize) -> Self {
+        let half = rules.evidence() as f64 / 3.0;
+        Ledger { nodes: BTreeMap::new(), usual: vec![0.0; classes], half, doubts: 0 }
+    }
+
+    /// The list said something. Another start of a node is another life: what was seen of the old one is over.
+    pub fn listed(&mut self, update: &ListUpdate) {
+        let (entries, whole) = match update {
+            ListUpdate::Changes(entries) => (entries, false),
+            ListUpdate::Full(entries) | ListUpdate::Restored(entries) => (entries, true),
+            ListUpdate::Failed => return,
+        };
+        if whole {
+            self.nodes.retain(|id, _| entries.iter().any(|e| e.node == *id));
+        }
+        for entry in entries {
+            if entry.state == Listed::Gone {
+                self.nodes.remove(&entry.node);
+                continue;
+            }
+            let node = self.nodes.entry(entry.node.clone()).or_default();
+            if node.started != entry.started {
+                *node = Node { started: entry.started, ..Node::default() };
+            }
+        }
+    }
+
+    /// This router stood still until now: what ended badly meanwhile says nothing of the nodes.
+    pub fn awoke(&mut self, now: Time, doubts: Span) {
+        self.doubts = now + doubts;
+    }
+
+    /// An attempt ended.
+    pub fn ended(
+        &mut self, now: Time, class: usize, write: bool, id: &NodeId, ending: Ending, elapsed: Span,
+    ) {
+        let place = match ending {
+            Ending::Success => 0,
+            Ending::Missed if write => 4,
+            Ending::Missed => 0,
+            Ending::Failure => 1,
+            Ending::TimedOut | Ending::Broken => 2,
+            Ending::Unreachable => 3,
+            Ending::Overloaded | Ending::Cancelled | Ending::Void => return,
+        };
+        if now < self.doubts && (1..=3).contains(&place) {
+            return;
+        }
+        let half = self.half;
+        let Some(node) = self.nodes.get_mut(id) else { return };
+        node.fade(now, half);
+        node.counts[place] += 1.0;
+        if ending == Ending::Success
+            && let Some(usual) = self.usual.get_mut(class)
+        {
+            let took = elapsed.max(1) as f64;
+            *usual = if *usual == 0.0 { took } else { *usual + GAIN * (took - *usual) };
+            node.slow += GAIN.max(1.0 / f64::from(node.samples + 1)) * ((took / *usual).ln() - node.slow);
+            node.samples += 1;
+        }
+    }
+
+    /// What is worth telling now: a node that begins or goes on to fail, or that is slow, and what this router saw of one
+    /// that others accuse. Each with its node, that node's start, and what was seen.
+    pub fn news(
+        &mut self, now: Time, rules: &Rules, contested: impl Fn(&NodeId) -> bool,
+        chance: impl Fn(&NodeId) -> f64,
+    ) -> Vec<(NodeId, Option<Time>, Seen)> {
+        let (half, life) = (self.half, rules.evidence());
+        let seen: Vec<(NodeId, Seen)> =
+            self.nodes.iter().map(|(id, n)| (id.clone(), n.seen(now, half))).collect();
+        let nodes = seen.iter().filter(|(_, s)| s.fails() || s.serves()).count() as u16;
+        let failing = seen.iter().filter(|(_, s)| s.fails()).count() as u16;
+        let mut news = Vec::new();
+        for (id, seen) in seen {
+            let Some(node) = self.nodes.get_mut(&id) else { continue };
+            let since = node.told.map_or(Span::MAX, |(at, _)| now.saturating_sub(at));
+            let told = node.told.map(|(_, told)| told).filter(|_| since <= life).unwrap_or_default();
+            let slow = seen.slowness().unwrap_or(1.0) >= SLOW;
+            let bad = seen.fails() || slow;
+            node.since = node.since.or(Some(now)).filter(|_| bad);
+            if since < HOLD {
+                continue;
+            }
+            let stale = since >= life / 3;
+            let worth = if seen.fails() {
+                !told.fails()
+                    || seen.failures() >= told.failures() + 0.9
+                    || (stale && node.at + life / 3 > now)
+            } else if seen.serves() {
+                let was = told.slowness().unwrap_or(1.0) >= SLOW;
+                let answers = chance(&id) < ANSWER / f64::from(rules.routers.max(1));
+                told.fails() || slow != was || (stale && (slow || (answers && contested(&id))))
+            } else {
+                false
+            };
+            if worth {
+                let lasted =
+                    node.since.map_or(0, |from| now.saturating_sub(from) / 100_000).min(65_535) as u16;
+                let seen = Seen { nodes, failing, lasted, ..seen };
+                node.told = Some((now, seen));
+                news.push((id, node.started, seen));
+            }
+        }
+        news
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use plovercove::NodeEntry;
+
+    const S: Time = 1_000_000;
+
+    fn ledger(nodes: &[&str]) -> (Ledger, Rules) {
+        let rules = Rules { routers: 3, ..Rules::default() };
+        let mut ledger = Ledger::new(&rules, 1);
+        let entry = |name: &&str| NodeEntry { node: (*name).into(), ..NodeEntry::default() };
+        ledger.listed(&ListUpdate::Full(nodes.iter().map(entry).collect()));
+        (ledger, rules)
+    }
+
+    fn tell(ledger: &mut Ledger, rules: &Rules, now: Time, contested: bool) -> Vec<(String, Seen)> {
+        let told = ledger.news(now, rules, |_| contested, |_| 0.0);
+        told.into_iter().map(|(id, _, seen)| (id.to_string(), seen)).collect()
+    }
+
+    #[test]
+    fn only_changes_are_told_and_only_of_nodes_that_fail_or_are_accused() {
+        let (mut ledger, rules) = ledger(&["x", "y"]);
+        for n in 0..20 {
+            ledger.ended(S + n, 0, false, &"x".into(), Ending::Success, 5_000);
+        }
+        assert!(tell(&mut ledger, &rules, S, false).is_empty(), "nothing is wrong");
+        ledger.ended(S, 0, false, &"y".into(), Ending::Unreachable, 5_000);
+        let told = tell(&mut ledger, &rules, S, false);
+        assert!(told.len() == 1 && told[0].0 == "y" && told[0].1.fails() && told[0].1.nodes == 2, "{told:?}");
+        assert!(tell(&mut ledger, &rules, S + HOLD, false).is_empty(), "it was told");
+        let told = tell(&mut ledger, &rules, S + HOLD, true);
+        assert!(told.len() == 1 && told[0].0 == "x" && told[0].1.serves(), "others accuse: {told:?}");
+    }
+
+    #[test]
+    fn what_ends_badly_while_a_router_stood_still_is_its_own() {
+        // Danger: a router that was stopped for 10 s finds all its attempts overdue, and accuses every node.
+        let (mut ledger, rules) = ledger(&["x"]);
+        ledger.awoke(10 * S, 2 * S);
+        ledger.ended(11 * S, 0, false, &"x".into(), Ending::TimedOut, 9 * S);
+        assert!(tell(&mut ledger, &rules, 11 * S, true).is_empty());
+        ledger.ended(13 * S, 0, false, &"x".into(), Ending::TimedOut, 9 * S);
+        assert_eq!(tell(&mut ledger, &rules, 13 * S, false).len(), 1);
+    }
+
+    #[test]
+    fn another_start_of_a_node_is_another_life() {
+        let (mut ledger, rules) = ledger(&["x"]);
+        ledger.ended(S, 0, false, &"x".into(), Ending::Broken, 1);
+        let again = NodeEntry { node: "x".into(), started: Some(2 * S), ..NodeEntry::default() };
+        ledger.listed(&ListUpdate::Changes(vec![again]));
+        assert!(tell(&mut ledger, &rules, 2 * S, true).is_empty());
+    }
+
+    #[test]
+    fn slowness_is_told_against_the_other_nodes() {
+        let (mut ledger, rules) = ledger(&["x", "y"]);
+        for n in 0..60 {
+            ledger.ended(S + n, 0, false, &"x".into(), Ending::Success, 5_000);
+            if n % 6 == 5 {
+                ledger.ended(S + n, 0, false, &"y".into(), Ending::Success, 60_000);
+            }
+        }
+        let told = tell(&mut ledger, &rules, S, false);
+        assert!(told.len() == 1 && told[0].0 == "y" && told[0].1.slowness() > Some(3.0), "{told:?}");
+    }
+}
--- /dev/null
+++ b/peers/src/verdict.rs
@@ -0,0 +1,253 @@
+//! Is this node bad, for all of us? A pure function of the fresh opinions: routers with the same records and the same
+//! list come to the same verdicts, and nobody has to lead.
+
+use crate::ledger::Seen;
+use crate::rules::{Guard, Rules};
+use plovercove::{GroupId, NodeId, Span};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A node is doubted where others answer so many times faster, and a replica is out at so many.
+const SLOW: (f64, f64) = (3.0, 8.0);
+/// Of those who saw a node of late, so many must find it bad: for less weight, and for none.
+const SHARE: (f64, f64) = (0.4, 0.6);
+/// One observer counts for no more failures than this, however many it reports: two are needed at the least.
+const EACH: f64 = 2.0;
+/// One who sees so many nodes fail, and more than a third of those it sees, has a broken link of its own.
+const BLAME: u16 = 3;
+/// At most one of so many members of a group is out.
+const THIRD: usize = 3;
+
+/// What the verdict on a node is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Level {
+    /// It takes part.
+    #[default]
+    In,
+    /// It counts for less.
+    Doubted,
+    /// It gets nothing but what only it can do, and trials by a few.
+    Out,
+}
+
+impl Level {
+    /// In a word, for logs.
+    pub fn word(self) -> &'static str {
+        match self {
+            Level::In => "in",
+            Level::Doubted => "doubted",
+            Level::Out => "out",
+        }
+    }
+}
+
+/// A node that is judged.
+#[derive(Clone, Debug)]
+pub struct Subject {
+    /// The node.
+    pub node: NodeId,
+    /// Its group.
+    pub group: GroupId,
+    /// Whether the list holds it for its group's primary.
+    pub primary: bool,
+}
+
+/// What one observer says of one node.
+#[derive(Clone, Debug)]
+pub struct Opinion<'a> {
+    /// Who says it.
+    pub observer: &'a str,
+    /// The zone it stands in.
+    pub zone: &'a str,
+    /// What it saw.
+    pub seen: Seen,
+    /// How long ago it said so.
+    pub age: Span,
+}
+
+/// A verdict, and what it rests on.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Verdict {
+    /// The level.
+    pub level: Level,
+    /// Observers that find the node bad.
+    pub observers: usize,
+    /// The age of the oldest evidence that it rests on.
+    pub oldest: Span,
+    /// What decided, in a word or two.
+    pub why: &'static str,
+}
+
+/// One node as all see it.
+fn weigh(rules: &Rules, subject: &Subject, opinions: &[Opinion], zones: usize) -> (Verdict, f64) {
+    let settle = rules.settle();
+    let blames =
+        |o: &&Opinion| rules.on(Guard::Blame) && o.seen.failing >= BLAME && 3 * o.seen.failing > o.seen.nodes;
+    let told: Vec<&Opinion> = opinions.iter().filter(|o| !blames(o)).collect();
+    let verdict = |bad: &[&Opinion], level: Level, why: &'static str| Verdict {
+        level,
+        observers: bad.len(),
+        oldest: bad.iter().map(|o| o.age).max().unwrap_or(0),
+        why,
+    };
+    let spread = |bad: &[&Opinion]| {
+        let seen: BTreeSet<&str> = bad.iter().map(|o| o.zone).collect();
+        !rules.on(Guard::OneZone) || zones < 2 || seen.len() >= 2
+    };
+    let enough = |bad: &[&Opinion]| !rules.on(Guard::Observers) || bad.len() >= 2;
+    let share = |bad: &[&Opinion]| bad.len() as f64 / told.len().max(1) as f64;
+    let bad: Vec<&Opinion> = told.iter().copied().filter(|o| o.seen.fails()).collect();
+    let each = if rules.on(Guard::Observers) { EACH } else { f64::INFINITY };
+    let failures: f64 = bad.iter().map(|o| o.seen.failures().min(each)).sum();
+    // An accusation counts once those who saw the node serve had time to say so.
+    let settled = bad.iter().any(|o| o.age + o.seen.lasted() >= settle);
+    let need = f64::from(rules.failures) - 0.5;
+    if enough(&bad) && settled && failures >= need && share(&bad) >= SHARE.0 {
+        if !spread(&bad) {
+            return (verdict(&bad, Level::In, "one zone"), 0.0);
+        }
+        let level = if share(&bad) >= SHARE.1 { Level::Out } else { Level::Doubted };
+        return (verdict(&bad, level, "fails"), failures);
+    }
+    let slower = |by: f64| {
+        told.iter().copied().filter(|o| o.seen.slowness().is_some_and(|s| s >= by)).collect::<Vec<_>>()
+    };
+    for (by, level) in [(SLOW.1, Level::Out), (SLOW.0, Level::Doubted)] {
+        let slow = slower(by);
+        let old = slow.iter().any(|o| o.age + o.seen.lasted() >= settle);
+        if enough(&slow) && !slow.is_empty() && old && share(&slow) >= SHARE.1 && spread(&slow) {
+            let spared = subject.primary && rules.on(Guard::Primary);
+            return (verdict(&slow, if spared { Level::Doubted } else { level }, "slow"), by);
+        }
+    }
+    (Verdict::default(), 0.0)
+}
+
+/// The verdicts on all these nodes, from the fresh opinions on each. `zones` is in how many zones routers stand.
+pub fn judge(
+    rules: &Rules, subjects: &[Subject], opinions: &BTreeMap<NodeId, Vec<Opinion>>, zones: usize,
+) -> BTreeMap<NodeId, Verdict> {
+    let mut verdicts = BTreeMap::new();
+    let mut out: BTreeMap<GroupId, Vec<(f64, NodeId)>> = BTreeMap::new();
+    for subject in subjects {
+        let Some(told) = opinions.get(&subject.node) else { continue };
+        let (verdict, weight) = weigh(rules, subject, told, zones);
+        if verdict.level == Level::Out {
+            out.entry(subject.group).or_default().push((weight, subject.node.clone()));
+        }
+        if verdict != Verdict::default() {
+            verdicts.insert(subject.node.clone(), verdict);
+        }
+    }
+    for (group, mut nodes) in out {
+        let members = subjects.iter().filter(|s| s.group == group).count();
+        let allowed = if rules.on(Guard::Third) { members / THIRD } else { members };
+        // The worst first; the name decides between equals, so that all decide alike.
+        nodes.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
+        for (_, node) in nodes.into_iter().skip(allowed) {
+            verdicts.entry(node).and_modify(|v| (v.level, v.why) = (Level::Doubted, "no more of its group"));
+        }
+    }
+    verdicts
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const S: Span = 1_000_000;
+
+    fn rules() -> Rules {
+        Rules { routers: 9, ..Rules::default() }
+    }
+
+    fn subjects(nodes: &[&str]) -> Vec<Subject> {
+        let subject = |(n, name): (usize, &&str)| Subject { node: (*name).into(), group: 1, primary: n == 0 };
+        nodes.iter().enumerate().map(subject).collect()
+    }
+
+    fn says<'a>(observer: &'a str, zone: &'a str, answers: u16, failures: u16) -> Opinion<'a> {
+        let seen =
+            Seen { answers: answers * 10, silent: failures * 10, nodes: 9, failing: 1, ..Seen::default() };
+        Opinion { observer, zone, seen, age: 2 * S }
+    }
+
+    fn of(node: &str, opinions: Vec<Opinion<'static>>) -> BTreeMap<NodeId, Vec<Opinion<'static>>> {
+        BTreeMap::from([(node.into(), opinions)])
+    }
+
+    /// The verdict on the replica x of a group of three, routers in three zones.
+    fn on_x(opinions: Vec<Opinion<'static>>) -> Level {
+        let verdicts = judge(&rules(), &subjects(&["p", "x", "y"]), &of("x", opinions), 3);
+        verdicts.get("x").map_or(Level::In, |v| v.level)
+    }
+
+    #[test]
+    fn what_several_see_fail_is_out_for_all() {
+        assert_eq!(on_x(vec![says("n1", "a", 0, 2), says("n2", "b", 0, 2)]), Level::Out);
+        let all = ["n1", "n2", "n3", "n4"].iter().zip(["a", "b", "c", "a"]);
+        assert_eq!(on_x(all.map(|(n, z)| says(n, z, 0, 1)).collect()), Level::Out, "one failure each");
+    }
+
+    #[test]
+    fn one_observer_takes_nobody_out_whatever_it_says() {
+        assert_eq!(on_x(vec![says("n1", "a", 0, 6_000)]), Level::In);
+        assert_eq!(on_x(vec![says("n1", "a", 0, 6_000), says("n2", "b", 9, 0)]), Level::In);
+    }
+
+    #[test]
+    fn observers_in_one_zone_speak_for_their_link() {
+        assert_eq!(
+            on_x(vec![says("n1", "a", 0, 9), says("n2", "a", 0, 9), says("n3", "a", 0, 9)]),
+            Level::In
+        );
+    }
+
+    #[test]
+    fn who_sees_most_nodes_fail_blames_itself() {
+        let blind = |n: &'static str, z: &'static str| {
+            let told = says(n, z, 0, 9);
+            Opinion { seen: Seen { failing: 5, ..told.seen }, ..told }
+        };
+        assert_eq!(on_x(vec![blind("n1", "a"), blind("n2", "b"), says("n3", "c", 0, 2)]), Level::In);
+    }
+
+    #[test]
+    fn those_who_saw_it_serve_outvote_a_few() {
+        let mut told = vec![says("n1", "a", 0, 2), says("n2", "b", 0, 2)];
+        told.extend(["n3", "n4", "n5", "n6"].map(|n| says(n, "c", 5, 0)));
+        assert_eq!(on_x(told), Level::In);
+    }
+
+    #[test]
+    fn an_accusation_waits_for_its_answer() {
+        let young = |n, z| Opinion { age: 0, ..says(n, z, 0, 2) };
+        assert_eq!(on_x(vec![young("n1", "a"), young("n2", "b")]), Level::In);
+    }
+
+    #[test]
+    fn a_third_of_a_group_at_the_most_is_out_and_the_worst_of_them() {
+        let mut opinions = BTreeMap::new();
+        for (node, failures) in [("p", 1), ("x", 2), ("y", 2)] {
+            opinions.insert(
+                node.into(),
+                vec![says("n1", "a", 0, failures), says("n2", "b", 0, failures), says("n3", "c", 0, 2)],
+            );
+        }
+        let verdicts = judge(&rules(), &subjects(&["p", "x", "y"]), &opinions, 3);
+        let levels: Vec<Level> = verdicts.values().map(|v| v.level).collect();
+        assert_eq!(levels, [Level::Doubted, Level::Out, Level::Doubted]);
+        let pair = judge(&rules(), &subjects(&["p", "x"]), &opinions, 3);
+        assert_eq!(pair["x"].level, Level::Doubted, "of two none can be spared");
+    }
+
+    #[test]
+    fn slowness_takes_a_replica_out_and_never_a_primary() {
+        let slow = |n: &'static str, z: &'static str| {
+            let told = says(n, z, 9, 0);
+            Opinion { seen: Seen { slow: 100, ..told.seen }, ..told }
+        };
+        assert_eq!(on_x(vec![slow("n1", "a"), slow("n2", "b")]), Level::Out);
+        let told = of("p", vec![slow("n1", "a"), slow("n2", "b")]);
+        assert_eq!(judge(&rules(), &subjects(&["p", "x", "y"]), &told, 3)["p"].level, Level::Doubted);
+    }
+}
--- /dev/null
+++ b/peers/src/wire.rs
@@ -0,0 +1,216 @@
+//! What a datagram is made of: a version, the installation, a body and a tag that only holders of the key can make.
+
+use crate::life::Life;
+use serde::{Deserialize, Serialize};
+
+/// No datagram is longer: it fits in one frame of every usual network, whatever tunnels it.
+pub const MOST: usize = 1_200;
+/// The version of the frame. What a newer version adds comes as further kinds of parts, which are skipped.
+const VERSION: u8 = 1;
+const HEAD: usize = 5;
+const TAG: usize = 32;
+/// Parts of one datagram.
+const PARTS: usize = 32;
+/// A key of fewer bytes could be guessed.
+const LEAST_KEY: usize = 16;
+
+/// Kinds of parts.
+pub(crate) mod kind {
+    pub const SWIM: u8 = 1;
+    pub const RECORDS: u8 = 2;
+    pub const DIGEST: u8 = 3;
+    pub const WANT: u8 = 4;
+}
+
+/// Why a datagram is dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Fault {
+    /// It is of another installation, or no datagram of routers at all.
+    Foreign,
+    /// It is of a version that is not spoken.
+    Version,
+    /// It was not made by a holder of the key, or was changed on its way.
+    Tag,
+    /// Its body is none.
+    Malformed,
+    /// It has been here before, or is so old that nobody can tell.
+    Replayed,
+    /// Its sender's life has ended.
+    OldLife,
+    /// Its sender is this router.
+    Own,
+    /// It brings more than may be held.
+    TooMuch,
+}
+
+impl Fault {
+    /// In a word, for logs.
+    pub fn word(self) -> &'static str {
+        match self {
+            Fault::Foreign => "foreign",
+            Fault::Version => "version",
+            Fault::Tag => "tag",
+            Fault::Malformed => "malformed",
+            Fault::Replayed => "replayed",
+            Fault::OldLife => "old life",
+            Fault::Own => "own",
+            Fault::TooMuch => "too much",
+        }
+    }
+}
+
+/// One part of a datagram.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// What it is; unknown kinds are skipped.
+    pub kind: u8,
+    /// Its content.
+    pub body: Vec<u8>,
+}
+
+/// A datagram's body.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Envelope {
+    /// Who sent it.
+    pub from: Life,
+    /// Counts this life's datagrams.
+    pub seq: u64,
+    /// The sender's own clock (ms since the start of its process), compared only with others from it.
+    pub stamp: u64,
+    /// What it brings.
+    pub parts: Vec<Part>,
+}
+
+/// The keys of an installation.
+#[derive(Clone)]
+pub struct Keys {
+    installation: [u8; 4],
+    ours: [u8; 32],
+    /// Taken as well while the key is being changed.
+    also: Option<[u8; 32]>,
+}
+
+impl Keys {
+    /// The keys made of the content of key files.
+    ///
+    /// # Errors
+    /// A key is too short.
+    pub fn new(installation: &str, ours: &[u8], also: Option<&[u8]>) -> Result<Self, String> {
+        let key = |bytes: &[u8]| {
+            if bytes.len() < LEAST_KEY {
+                return Err(format!("expected a key of {LEAST_KEY} bytes or more"));
+            }
+            let context = format!("plovercove 2026-12 peers of {installation}");
+            Ok(blake3::derive_key(&context, bytes))
+        };
+        let mut short = [0; 4];
+        short.copy_from_slice(&blake3::hash(installation.as_bytes()).as_bytes()[..4]);
+        Ok(Keys { installation: short, ours: key(ours)?, also: also.map(key).transpose()? })
+    }
+
+    /// Makes a datagram; none where it would be too long.
+    pub fn seal(&self, envelope: &Envelope) -> Option<Vec<u8>> {
+        let mut out = vec![VERSION];
+        out.extend_from_slice(&self.installation);
+        let mut out = postcard::to_extend(envelope, out).ok()?;
+        let tag = blake3::keyed_hash(&self.ours, &out);
+        out.extend_from_slice(tag.as_bytes());
+        (out.len() <= MOST).then_some(out)
+    }
+
+    /// How much room parts have in a datagram of this life.
+    pub fn room(from: &Life) -> usize {
+        // Numbers and lengths take ten bytes each at the most.
+        MOST - HEAD - TAG - (19 + 10 + 5 + from.name.len() + from.zone.len() + 4) - 10 - 10 - 2
+    }
+
+    /// Opens a datagram.
+    ///
+    /// # Errors
+    /// Why it must be dropped.
+    pub fn open(&self, bytes: &[u8], check: bool) -> Result<Envelope, Fault> {
+        if bytes.len() < HEAD + TAG || bytes.len() > MOST || bytes[1..HEAD] != self.installation {
+            return Err(Fault::Foreign);
+        }
+        if bytes[0] != VERSION {
+            return Err(Fault::Version);
+        }
+        let (signed, tag) = bytes.split_at(bytes.len() - TAG);
+        let mut told = [0; TAG];
+        told.copy_from_slice(tag);
+        let told = blake3::Hash::from_bytes(told);
+        // Hashes are compared in a time that tells nothing of them.
+        let good = |key: &[u8; 32]| blake3::keyed_hash(key, signed) == told;
+        if check && !good(&self.ours) && !self.also.as_ref().is_some_and(good) {
+            return Err(Fault::Tag);
+        }
+        let envelope: Envelope = postcard::from_bytes(&signed[HEAD..]).map_err(|_| Fault::Malformed)?;
+        if envelope.parts.len() > PARTS || !envelope.from.fits() {
+            return Err(Fault::Malformed);
+        }
+        Ok(envelope)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn envelope(parts: Vec<Part>) -> Envelope {
+        let from = Life {
+            address: "127.0.0.1:7".parse().expect("an address"),
+            boot: 9,
+            turn: 0,
+            name: "n1".into(),
+            zone: "a".into(),
+        };
+        Envelope { from, seq: 1, stamp: 5, parts }
+    }
+
+    fn keys(ours: &str, also: Option<&str>) -> Keys {
+        Keys::new("here", ours.as_bytes(), also.map(str::as_bytes)).expect("long enough")
+    }
+
+    const OLD: &str = "an old key of enough bytes";
+    const NEW: &str = "a new key, also long enough";
+
+    #[test]
+    fn what_fills_the_room_fits_in_a_datagram_and_comes_back() {
+        let told = envelope(vec![Part { kind: 7, body: vec![1; Keys::room(&envelope(Vec::new()).from)] }]);
+        let sealed = keys(OLD, None).seal(&told).expect("it fits");
+        assert_eq!(keys(OLD, None).open(&sealed, true), Ok(told));
+        assert!(keys(OLD, None).seal(&envelope(vec![Part { kind: 7, body: vec![1; MOST] }])).is_none());
+    }
+
+    #[test]
+    fn a_key_is_changed_without_a_moment_in_which_routers_are_strangers() {
+        // First all take the new one as well, then all use it, then the old one goes.
+        let steps = [keys(OLD, None), keys(OLD, Some(NEW)), keys(NEW, Some(OLD)), keys(NEW, None)];
+        let told = envelope(Vec::new());
+        for (from, to) in steps.windows(2).flat_map(|w| [(&w[0], &w[1]), (&w[1], &w[0])]) {
+            assert!(to.open(&from.seal(&told).expect("small"), true).is_ok());
+        }
+        assert_eq!(steps[0].open(&steps[3].seal(&told).expect("small"), true), Err(Fault::Tag));
+    }
+
+    #[test]
+    fn whatever_is_changed_or_foreign_is_dropped_with_its_reason() {
+        let (ours, told) = (keys(OLD, None), envelope(vec![Part { kind: 1, body: vec![3; 40] }]));
+        let sealed = ours.seal(&told).expect("small");
+        for at in 0..sealed.len() {
+            for flip in [1, 128] {
+                let mut changed = sealed.clone();
+                changed[at] ^= flip;
+                let want = [Fault::Version, Fault::Foreign, Fault::Tag]
+                    [usize::from(at > 0) + usize::from(at >= HEAD)];
+                assert_eq!(ours.open(&changed, true), Err(want), "byte {at}");
+            }
+        }
+        for length in 0..sealed.len() {
+            assert!(ours.open(&sealed[..length], true).is_err());
+        }
+        let there = Keys::new("there", OLD.as_bytes(), None).expect("long enough");
+        assert_eq!(there.open(&sealed, true), Err(Fault::Foreign));
+        assert!(Keys::new("here", b"short", None).is_err());
+    }
+}
--- /dev/null
+++ b/peers/src/witness.rs
@@ -0,0 +1,156 @@
+//! What stands beside the decision module: it sees every attempt and its end, and says how much a node counts by the
+//! verdicts of all. What says which zones a request may use stands behind it and is asked first.
+
+use crate::ledger::Ledger;
+use crate::rules::Rules;
+use crate::verdict::{Level, Subject};
+use plovercove::{Access, Ask, Ending, ListUpdate, Listed, News, NodeId, Settings, Span, Time, Zoning};
+use std::collections::{BTreeMap, VecDeque};
+
+/// How much of its weight a node counts for that is doubted, or that is out and on trial.
+const DOUBTED: f64 = 0.5;
+
+/// Trials of a node that is out: this router makes some on behalf of all.
+#[derive(Clone, Copy, Debug)]
+struct Trial {
+    next: Time,
+    every: Span,
+}
+
+/// What a router sees and how it judges, beside its decision module.
+pub struct Witness {
+    inner: Option<Box<dyn Zoning>>,
+    /// Classes that only the primary serves: no verdict keeps them from it, for nobody else can take its place.
+    only_primary: Vec<bool>,
+    pub(crate) ledger: Ledger,
+    members: BTreeMap<NodeId, (Subject, Option<Time>, bool)>,
+    levels: BTreeMap<NodeId, Level>,
+    trials: BTreeMap<NodeId, Trial>,
+    news: VecDeque<News>,
+}
+
+impl Witness {
+    /// A witness before whatever says which zones a request may use.
+    pub fn new(rules: &Rules, settings: &Settings, inner: Option<Box<dyn Zoning>>) -> Self {
+        let only = |access: Access| matches!(access, Access::Write | Access::Latest);
+        Witness {
+            inner,
+            only_primary: settings.classes.iter().map(|c| only(c.access)).collect(),
+            ledger: Ledger::new(rules, settings.classes.len()),
+            members: BTreeMap::new(),
+            levels: BTreeMap::new(),
+            trials: BTreeMap::new(),
+            news: VecDeque::new(),
+        }
+    }
+
+    /// What says which zones a request may use.
+    pub fn inner(&mut self) -> Option<&mut dyn Zoning> {
+        self.inner.as_deref_mut()
+    }
+
+    /// Takes over what another witness saw and judged.
+    pub fn inherit(&mut self, old: &mut Witness) {
+        std::mem::swap(&mut self.ledger, &mut old.ledger);
+        (self.levels, self.trials) = (std::mem::take(&mut old.levels), std::mem::take(&mut old.trials));
+    }
+
+    /// The members that the list names as serving, with the starts it tells.
+    pub(crate) fn serving(&self) -> impl Iterator<Item = (&Subject, Option<Time>)> {
+        self.members.values().filter(|(_, _, serving)| *serving).map(|(s, started, _)| (s, *started))
+    }
+
+    /// The level of a node.
+    pub fn level(&self, node: &NodeId) -> Level {
+        self.levels.get(node).copied().unwrap_or_default()
+    }
+
+    /// All levels but those that are in.
+    pub fn levels(&self) -> &BTreeMap<NodeId, Level> {
+        &self.levels
+    }
+
+    /// From now on this is the level of a node; where it is out, `tries` says how often this router tries it for all.
+    pub(crate) fn set(&mut self, now: Time, node: &NodeId, level: Level, tries: Option<Span>) {
+        if level == Level::In {
+            self.levels.remove(node);
+        } else {
+            self.levels.insert(node.clone(), level);
+        }
+        match tries.filter(|_| level == Level::Out) {
+            Some(every) => {
+                self.trials.entry(node.clone()).or_insert(Trial { next: now, every });
+            }
+            None => drop(self.trials.remove(node)),
+        }
+    }
+}
+
+impl Zoning for Witness {
+    fn listed(&mut self, now: Time, update: &ListUpdate) {
+        if let Some(inner) = &mut self.inner {
+            inner.listed(now, update);
+        }
+        self.ledger.listed(update);
+        let (entries, whole) = match update {
+            ListUpdate::Changes(entries) => (entries, false),
+            ListUpdate::Full(entries) | ListUpdate::Restored(entries) => (entries, true),
+            ListUpdate::Failed => return,
+        };
+        if whole {
+            self.members.clear();
+        }
+        for entry in entries {
+            if entry.state == Listed::Gone {
+                self.members.remove(&entry.node);
+                continue;
+            }
+            let subject = Subject { node: entry.node.clone(), group: entry.group, primary: entry.primary };
+            let serving = entry.state == Listed::Serving;
+            self.members.insert(entry.node.clone(), (subject, entry.started, serving));
+        }
+        let members = &self.members;
+        self.levels.retain(|id, _| members.contains_key(id));
+        self.trials.retain(|id, _| members.contains_key(id));
+    }
+
+    fn counts(&mut self, now: Time, ask: &Ask, node: &NodeId) -> Option<f64> {
+        let base = self.inner.as_mut().map_or(Some(1.0), |inner| inner.counts(now, ask, node))?;
+        match self.levels.get(node) {
+            None | Some(Level::In) => Some(base),
+            Some(Level::Doubted) => Some(base * DOUBTED),
+            Some(Level::Out) if ask.write || self.only_primary.get(ask.class) == Some(&true) => Some(base),
+            Some(Level::Out) => {
+                self.trials.get(node).filter(|trial| now >= trial.next).map(|_| base * DOUBTED)
+            }
+        }
+    }
+
+    fn sent(&mut self, now: Time, ask: &Ask, node: &NodeId) {
+        if let Some(inner) = &mut self.inner {
+            inner.sent(now, ask, node);
+        }
+        if let Some(trial) = self.trials.get_mut(node) {
+            trial.next = now + trial.every;
+        }
+    }
+
+    fn ended(&mut self, now: Time, ask: &Ask, node: &NodeId, ending: Ending, elapsed: Span) {
+        if let Some(inner) = &mut self.inner {
+            inner.ended(now, ask, node, ending, elapsed);
+        }
+        self.ledger.ended(now, ask.class, ask.write, node, ending, elapsed);
+    }
+
+    fn come_back(&self, ask: &Ask, most: Span) -> Span {
+        self.inner.as_ref().map_or(most / 2, |inner| inner.come_back(ask, most))
+    }
+
+    fn paces(&self) -> bool {
+        self.inner.as_ref().is_some_and(|inner| inner.paces())
+    }
+
+    fn news(&mut self) -> Option<News> {
+        self.news.pop_front().or_else(|| self.inner.as_mut()?.news())
+    }
+}
--- /dev/null
+++ b/peers/tests/common/mod.rs
@@ -0,0 +1,356 @@
+//! Routers among their peers in virtual time, with whatever weather a test makes between them.
+#![allow(dead_code, missing_docs, reason = "each test uses a part of it")]
+
+use plovercove::{Ask, Ending, ListUpdate, NodeEntry, NodeId, Settings, Span, Time, Zoning};
+use plovercove_peers::{Keys, Level, Life, News, Peers, Rules, Witness};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::net::SocketAddr;
+
+pub const S: Span = 1_000_000;
+pub const BEGIN: Time = 1_000_000 * S;
+/// Between two requests of one router.
+const EVERY: Span = S / 10;
+pub const KEY: &[u8] = b"a key that only tests know of";
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Turn(usize),
+    Came { to: usize, life: u32, bytes: Vec<u8> },
+    Ask(usize),
+}
+
+pub struct Router {
+    pub peers: Peers,
+    pub witness: Witness,
+    pub up: bool,
+    pub stopped: bool,
+    life: u32,
+    /// What came while it stood still.
+    held: Vec<Vec<u8>>,
+    /// What it said, and when.
+    pub news: Vec<(Time, News)>,
+}
+
+/// What the network does to a datagram: none where it is lost, else how often it comes and after how long.
+pub type Weather = Box<dyn FnMut(Time, usize, usize, &mut Pcg64Mcg) -> Vec<Span>>;
+/// What comes of a request of a router at a node.
+pub type Fate = Box<dyn FnMut(Time, usize, &NodeId, &mut Pcg64Mcg) -> (Ending, Span)>;
+
+/// What comes beside each datagram, made of it: where it goes, and its bytes.
+pub type Spoils = Box<dyn FnMut(&[u8], &mut Pcg64Mcg) -> Vec<u8>>;
+
+pub struct Net {
+    pub spoils: Option<Spoils>,
+    /// How many of those there were.
+    pub spoilt: u64,
+    pub now: Time,
+    pub routers: Vec<Router>,
+    pub rules: Rules,
+    pub nodes: Vec<NodeEntry>,
+    pub weather: Weather,
+    pub fate: Fate,
+    pub dice: Pcg64Mcg,
+    /// Attempts that a bad end came of, by node.
+    pub lost: HashMap<NodeId, u64>,
+    heap: BinaryHeap<Reverse<(Time, u64, Event)>>,
+    order: u64,
+    zone: fn(usize) -> &'static str,
+    /// Whether routers are asked anything.
+    pub asks: bool,
+}
+
+pub fn address(n: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, (n / 250) as u8, 1], 7_000 + (n % 250) as u16))
+}
+
+pub fn zone(n: usize) -> &'static str {
+    ["a", "b", "c"][n % 3]
+}
+
+pub fn keys(key: &[u8]) -> Keys {
+    Keys::new("test", key, None).expect("long enough")
+}
+
+pub fn calm() -> Weather {
+    Box::new(|_, _, _, dice| vec![500 + dice.random_range(0..1_500)])
+}
+
+/// Each datagram is lost with this chance.
+pub fn lossy(loss: f64) -> Weather {
+    Box::new(
+        move |_, _, _, dice| {
+            if dice.random::<f64>() < loss { Vec::new() } else { vec![500 + dice.random_range(0..1_500)] }
+        },
+    )
+}
+
+pub fn good() -> Fate {
+    Box::new(|_, _, _, _| (Ending::Success, 5_000))
+}
+
+/// Nodes of this name never answer from then on.
+pub fn dies(name: &'static str, from: Time) -> Fate {
+    Box::new(move |now, _, node, _| {
+        if **node == *name && now >= from { (Ending::TimedOut, 200_000) } else { (Ending::Success, 5_000) }
+    })
+}
+
+impl Net {
+    pub fn new(routers: usize, groups: usize, seed: u64, rules: Rules) -> Self {
+        Self::within(zone, routers, groups, seed, rules)
+    }
+
+    /// Routers that stand in these zones.
+    pub fn within(
+        zone: fn(usize) -> &'static str, routers: usize, groups: usize, seed: u64, mut rules: Rules,
+    ) -> Self {
+        rules.installation = "test".into();
+        rules.routers = routers as u32;
+        if rules.seeds.is_empty() {
+            rules.seeds = (0..3.min(routers)).map(address).collect();
+        }
+        let entry = |n: usize| NodeEntry {
+            node: format!("s{n}").into(),
+            group: (n / 3) as u64 + 1,
+            primary: n.is_multiple_of(3),
+            weight: 1.0,
+            ..NodeEntry::default()
+        };
+        let mut net = Net {
+            spoils: None,
+            spoilt: 0,
+            now: BEGIN,
+            routers: Vec::new(),
+            nodes: (0..groups * 3).map(entry).collect(),
+            weather: calm(),
+            fate: good(),
+            dice: Pcg64Mcg::seed_from_u64(seed),
+            lost: HashMap::new(),
+            heap: BinaryHeap::new(),
+            order: 0,
+            asks: true,
+            zone,
+            rules,
+        };
+        for n in 0..routers {
+            let router = net.boot(n, 0, seed);
+            net.routers.push(router);
+            net.at(BEGIN + n as u64, Event::Turn(n));
+            net.at(BEGIN + n as u64 * 331, Event::Ask(n));
+        }
+        net
+    }
+
+    fn boot(&self, n: usize, life: u32, seed: u64) -> Router {
+        let rules = &self.rules;
+        let me = Life {
+            address: address(n),
+            boot: self.now + 1,
+            turn: 0,
+            name: format!("n{n}"),
+            zone: (self.zone)(n).into(),
+        };
+        let peers =
+            Peers::new(rules.clone(), keys(KEY), me, self.now, seed ^ (n as u64) << 8 ^ u64::from(life));
+        let settings = Settings {
+            classes: vec![plovercove::Class {
+                name: "look".into(),
+                access: plovercove::Access::Any,
+                aim: S,
+                aim_stretch: 0.0,
+                deadline: S,
+                worth: 1.0,
+                late_worth: 0.0,
+                effect: plovercove::Effect::Idempotent,
+                scope: plovercove::RepeatScope::All,
+                window: 0,
+                stream: false,
+            }],
+            ..Settings::default()
+        };
+        let mut witness = Witness::new(rules, &settings, None);
+        witness.listed(self.now, &ListUpdate::Full(self.nodes.clone()));
+        Router { peers, witness, up: true, stopped: false, life, held: Vec::new(), news: Vec::new() }
+    }
+
+    fn at(&mut self, at: Time, event: Event) {
+        self.order += 1;
+        self.heap.push(Reverse((at, self.order, event)));
+    }
+
+    pub fn kill(&mut self, n: usize) {
+        self.routers[n].up = false;
+    }
+
+    pub fn start(&mut self, n: usize) {
+        let (life, news) = (self.routers[n].life + 1, std::mem::take(&mut self.routers[n].news));
+        let fresh = self.boot(n, life, 77);
+        self.routers[n] = Router { news, ..fresh };
+        self.at(self.now, Event::Turn(n));
+    }
+
+    pub fn stop(&mut self, n: usize) {
+        self.routers[n].stopped = true;
+    }
+
+    /// It goes on: what came meanwhile is read first, as the loop does.
+    pub fn go_on(&mut self, n: usize) {
+        self.routers[n].stopped = false;
+        for bytes in std::mem::take(&mut self.routers[n].held) {
+            self.routers[n].peers.receive(self.now, &bytes);
+        }
+        self.turn(n);
+    }
+
+    /// Hands a datagram to a router as it is.
+    pub fn inject(&mut self, n: usize, bytes: &[u8]) {
+        self.routers[n].peers.receive(self.now, bytes);
+    }
+
+    pub fn run(&mut self, span: Span) {
+        let until = self.now + span;
+        while let Some(Reverse((at, _, _))) = self.heap.peek()
+            && *at <= until
+        {
+            let Some(Reverse((at, _, event))) = self.heap.pop() else { break };
+            self.now = self.now.max(at);
+            match event {
+                Event::Turn(n) => {
+                    if self.routers[n].up
+                        && !self.routers[n].stopped
+                        && self.routers[n].peers.next() <= self.now
+                    {
+                        self.turn(n);
+                    }
+                }
+                Event::Came { to, life, bytes } => {
+                    let router = &mut self.routers[to];
+                    if router.up && router.life == life && router.stopped {
+                        router.held.push(bytes);
+                    } else if router.up && router.life == life {
+                        router.peers.receive(self.now, &bytes);
+                        self.send(to);
+                    }
+                }
+                Event::Ask(n) => {
+                    if self.asks {
+                        self.ask(n);
+                    }
+                    self.at(self.now + EVERY, Event::Ask(n));
+                }
+            }
+        }
+        self.now = until;
+    }
+
+    fn turn(&mut self, n: usize) {
+        let now = self.now;
+        let router = &mut self.routers[n];
+        router.peers.turn(now, &mut router.witness);
+        self.send(n);
+    }
+
+    fn send(&mut self, n: usize) {
+        let out = self.routers[n].peers.take_out();
+        while let Some(news) = self.routers[n].peers.news() {
+            self.routers[n].news.push((self.now, news));
+        }
+        for (to, bytes) in out {
+            let Some(to) = (0..self.routers.len()).find(|n| address(*n) == to) else { continue };
+            if let Some(spoils) = &mut self.spoils {
+                let (life, bytes) = (self.routers[to].life, spoils(&bytes, &mut self.dice));
+                self.spoilt += 1;
+                self.at(self.now + 400, Event::Came { to, life, bytes });
+            }
+            for after in (self.weather)(self.now, n, to, &mut self.dice) {
+                let life = self.routers[to].life;
+                self.at(self.now + after, Event::Came { to, life, bytes: bytes.clone() });
+            }
+        }
+        let next = self.routers[n].peers.next();
+        if next < Time::MAX {
+            self.at(next.max(self.now + 1), Event::Turn(n));
+        }
+    }
+
+    /// A request to one of the nodes that count for it, drawn at random.
+    fn ask(&mut self, n: usize) {
+        let router = &mut self.routers[n];
+        if !router.up || router.stopped || self.nodes.is_empty() {
+            return;
+        }
+        let ask = Ask { request: 1, class: 0, write: false };
+        let now = self.now;
+        let group = self.dice.random_range(0..self.nodes.len()) / 3 + 1;
+        let able: Vec<NodeId> = self
+            .nodes
+            .iter()
+            .filter(|e| e.group == group as u64)
+            .filter(|e| router.witness.counts(now, &ask, &e.node).is_some())
+            .map(|e| e.node.clone())
+            .collect();
+        if able.is_empty() {
+            return;
+        }
+        let node = able[self.dice.random_range(0..able.len())].clone();
+        router.witness.sent(now, &ask, &node);
+        let (ending, elapsed) = (self.fate)(now, n, &node, &mut self.dice);
+        if ending != Ending::Success {
+            *self.lost.entry(node.clone()).or_default() += 1;
+        }
+        self.routers[n].witness.ended(now, &ask, &node, ending, elapsed);
+    }
+
+    pub fn list(&mut self, update: &ListUpdate) {
+        for router in &mut self.routers {
+            router.witness.listed(self.now, update);
+        }
+    }
+
+    pub fn seen(&self) -> Vec<usize> {
+        self.routers.iter().filter(|r| r.up).map(|r| r.peers.seen()).collect()
+    }
+
+    /// The level of a node at every router that is up.
+    pub fn levels(&self, node: &str) -> Vec<Level> {
+        self.routers.iter().filter(|r| r.up).map(|r| r.witness.level(&node.into())).collect()
+    }
+
+    /// Runs until a condition holds; how long that took.
+    pub fn until(&mut self, within: Span, mut holds: impl FnMut(&Net) -> bool) -> Option<Span> {
+        let from = self.now;
+        while self.now < from + within {
+            if holds(self) {
+                return Some(self.now - from);
+            }
+            self.run(S / 50);
+        }
+        holds(self).then(|| self.now - from)
+    }
+
+    /// Runs until all that are up see each other.
+    pub fn joined(&mut self) -> Span {
+        let took = self.until(60 * S, |net| {
+            let seen = net.seen();
+            seen.iter().all(|n| *n == seen.len())
+        });
+        took.unwrap_or_else(|| panic!("they do not find each other: {:?}", self.seen()))
+    }
+
+    /// Every verdict that took a node out: when, at which router, on which node.
+    pub fn outs(&self) -> Vec<(Time, usize, String)> {
+        let of = |(n, r): (usize, &Router)| {
+            let told = r.news.iter().filter_map(move |(at, news)| match news {
+                News::Verdict { node, verdict, .. } if verdict.level == Level::Out => {
+                    Some((*at, n, node.to_string()))
+                }
+                _ => None,
+            });
+            told.collect::<Vec<_>>()
+        };
+        self.routers.iter().enumerate().flat_map(of).collect()
+    }
+}
--- /dev/null
+++ b/peers/tests/decoder.rs
@@ -0,0 +1,67 @@
+//! Whatever a datagram holds, signed or not: nothing panics, nothing grows without bound, each is counted.
+
+mod common;
+
+use common::{BEGIN, Net, S, address, keys};
+use plovercove_peers::{Envelope, Life, Part, Rules};
+use proptest::prelude::*;
+use rand::RngExt;
+
+fn life(port: usize, boot: u64) -> Life {
+    Life { address: address(port), boot: BEGIN + boot, turn: 0, name: format!("x{port}"), zone: "z".into() }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(400))]
+
+    #[test]
+    fn whatever_holders_of_the_key_send_is_taken_or_counted(
+        datagrams in prop::collection::vec(
+            (20usize..26, 0u64..3, any::<u64>(), any::<u64>(),
+             prop::collection::vec((0u8..7, prop::collection::vec(any::<u8>(), 0..200)), 0..5)), 1..20)
+    ) {
+        let ours = keys(common::KEY);
+        let mut net = Net::new(1, 1, 1, Rules::default());
+        let mut sent = 0;
+        for (port, boot, seq, stamp, parts) in datagrams {
+            let parts = parts.into_iter().map(|(kind, body)| Part { kind, body }).collect();
+            let Some(sealed) = ours.seal(&Envelope { from: life(port, boot), seq, stamp, parts }) else { continue };
+            sent += 1;
+            net.inject(0, &sealed);
+            net.run(S / 100);
+        }
+        let counts = net.routers[0].peers.counts();
+        prop_assert_eq!(counts.came.0 + counts.dropped.values().sum::<u64>(), sent);
+    }
+}
+
+#[test]
+fn changed_datagrams_of_a_real_fleet_are_dropped_and_the_fleet_goes_on() {
+    // A corpus that is real: every datagram of a fleet, some of them with bytes changed, cut off or doubled on their way.
+    let mut net = Net::new(6, 2, 11, Rules::default());
+    net.joined();
+    let before: u64 = net.routers.iter().map(|r| r.peers.counts().dropped.values().sum::<u64>()).sum();
+    net.spoils = Some(Box::new(|bytes, dice| {
+        let mut spoilt = bytes.to_vec();
+        match dice.random_range(0..4) {
+            0 => spoilt.truncate(dice.random_range(0..bytes.len())),
+            1 => spoilt.extend_from_slice(bytes),
+            _ => {
+                let at = dice.random_range(0..bytes.len());
+                spoilt[at] ^= 1 << dice.random_range(0..8);
+            }
+        }
+        spoilt
+    }));
+    net.run(20 * S);
+    net.spoils = None;
+    net.run(S);
+    let after: u64 = net.routers.iter().map(|r| r.peers.counts().dropped.values().sum::<u64>()).sum();
+    assert!(
+        net.spoilt > 100 && after - before == net.spoilt,
+        "{} changed, {} dropped",
+        net.spoilt,
+        after - before
+    );
+    assert!(net.seen().iter().all(|n| *n == 6), "{:?}", net.seen());
+}
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -409,7 +409,7 @@
         let warm = self.warm_share(node);
         // Danger: a cold node's refusals were sent to it over and over, which counts towards pushing it over.
         // Where zones count, each cold node has an allowance of its own.
-        let lucky = self.zoning.is_some() || r.luck <= (warm * COLD_USE * peers).ln();
+        let lucky = matches!(&self.zoning, Some(z) if z.paces()) || r.luck <= (warm * COLD_USE * peers).ln();
         open && (warm >= 1.0 || (r.at(node).next().is_none() && lucky))
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -532,4 +532,8 @@
     fn come_back(&self, ask: &Ask, most: Span) -> Span;
     /// A line for the log, while there is one.
     fn news(&mut self) -> Option<News>;
+    /// Whether it gives each cold node an allowance of its own. Where it does not, the module paces them as without it.
+    fn paces(&self) -> bool {
+        true
+    }
 }
