Routers talk over UDP where a peers block says so, and a rig of real processes breaks them

The crate of peers had no sockets, and nothing showed what many processes come to together when some fail. router/src/peers.rs: one socket, one deadline among the others, keys from files that nobody else may read, leave on SIGTERM, new keys on SIGHUP, SIGUSR1 tells what is believed. Without the block: no socket, no signal, nothing beside the module.

--- a/core/src/deadlines.rs
+++ b/core/src/deadlines.rs
@@ -19,6 +19,8 @@
     Discovery,
     /// Accepting may go on.
     Accept,
+    /// A probe of another router, a round of gossip, a review of verdicts.
+    Peers,
     /// The next step of the way out.
     Stop,
 }
--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -31,7 +31,7 @@
 }
 
 /// Puts `over` on top of `base`: objects are merged, all else is replaced.
-fn merge(base: &mut Value, over: Value) {
+pub(crate) fn merge(base: &mut Value, over: Value) {
     match (base, over) {
         (Value::Object(base), Value::Object(over)) => {
             for (key, value) in over {
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cost;
 mod experiment;
+mod faults;
 mod sockets;
 mod table;
 
@@ -88,6 +89,38 @@
         #[arg(long, value_name = "FILE")]
         router: Option<PathBuf>,
     },
+    /// Try many router processes with faults between them, on loopback sockets, and check what they did.
+    Faults {
+        /// The script that describes it.
+        file: PathBuf,
+        /// Only this case; more than one may be given.
+        #[arg(long)]
+        case: Vec<String>,
+        /// The seed of what is drawn.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Seeds from A up to B, as A..B.
+        #[arg(long, value_parser = seeds, conflicts_with = "seed")]
+        seeds: Option<(u64, u64)>,
+        /// Trials at once.
+        #[arg(long, default_value_t = 2)]
+        at_once: usize,
+        /// Write all outcomes as JSON.
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+        /// Keep the logs of trials in which something was broken.
+        #[arg(long, value_name = "DIR")]
+        keep: Option<PathBuf>,
+        /// Where something was broken, drop faults while it still is.
+        #[arg(long)]
+        shrink: bool,
+        /// Switch a guard off; only a router that was built for tests does that.
+        #[arg(long, value_name = "GUARD")]
+        without: Option<String>,
+        /// The router's program; else the one beside this.
+        #[arg(long, value_name = "FILE")]
+        router: Option<PathBuf>,
+    },
     /// Check a script, and print its cases.
     Check {
         /// The script.
@@ -157,6 +190,20 @@
             print!("{}", cost::table(&costs));
             Ok(ExitCode::SUCCESS)
         }
+        Command::Faults { file, case, seed, seeds, at_once, json, keep, shrink, without, router } => {
+            let (from, to) = seeds.unwrap_or((seed, seed));
+            let at_once = at_once.clamp(1, 16);
+            let wish =
+                faults::Wish { file, cases: case, seeds: from..=to, at_once, keep, without, shrink, router };
+            let verdicts = faults::run(&wish)?;
+            let broken = verdicts.iter().filter(|v| !v.broken.is_empty()).count();
+            println!("{} trials, {broken} in which something was broken", verdicts.len());
+            if let Some(path) = json {
+                let text = serde_json::to_string_pretty(&verdicts).map_err(|e| e.to_string())?;
+                std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))?;
+            }
+            Ok(if broken > 0 { ExitCode::FAILURE } else { ExitCode::SUCCESS })
+        }
         Command::Check { file } => {
             let experiment = Experiment::read(&file, &[])?;
             println!("{}: {} cases", experiment.name, experiment.cases.len());
--- a/lab/src/sockets.rs
+++ b/lab/src/sockets.rs
@@ -62,7 +62,7 @@
 }
 
 /// What a router is told, in the platform's form.
-fn config(spec: &Spec, index: usize, zone: &str, agent: SocketAddr) -> serde_json::Value {
+pub(crate) fn config(spec: &Spec, index: usize, zone: &str, agent: SocketAddr) -> serde_json::Value {
     let word = |reads: Reads| match reads {
         Reads::Any => "loose",
         Reads::Bounded(_) => "recent",
--- a/peers/src/ledger.rs
+++ b/peers/src/ledger.rs
@@ -102,6 +102,7 @@
 }
 
 /// What a router saw.
+#[derive(Default)]
 pub struct Ledger {
     nodes: BTreeMap<NodeId, Node>,
     /// Mean time of an answer by class (us).
--- a/peers/src/rules.rs
+++ b/peers/src/rules.rs
@@ -38,13 +38,23 @@
     Flap,
 }
 
+impl Guard {
+    /// The guard of this name, as scripts write it.
+    pub fn named(name: &str) -> Option<Guard> {
+        use serde::de::IntoDeserializer;
+        let name: serde::de::value::StrDeserializer<'_, serde::de::value::Error> = name.into_deserializer();
+        Guard::deserialize(name).ok()
+    }
+}
+
 /// The settings of peers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Rules {
     /// Routers of other installations are strangers, though they have the same key.
     pub installation: String,
-    /// How many routers there should be. What is divided among routers is divided by this.
+    /// How many routers there should be, from the platform's settings. What is divided among routers is divided by this.
+    #[serde(skip)]
     pub routers: u32,
     /// Addresses that a router asks for members until it knows as many as there should be.
     pub seeds: Vec<SocketAddr>,
--- a/peers/src/witness.rs
+++ b/peers/src/witness.rs
@@ -49,10 +49,18 @@
         self.inner.as_deref_mut()
     }
 
-    /// Takes over what another witness saw and judged.
-    pub fn inherit(&mut self, old: &mut Witness) {
-        std::mem::swap(&mut self.ledger, &mut old.ledger);
-        (self.levels, self.trials) = (std::mem::take(&mut old.levels), std::mem::take(&mut old.trials));
+    /// A witness that goes on from what this one saw and judged, before something else that says which zones a request
+    /// may use.
+    pub fn with(&mut self, inner: Option<Box<dyn Zoning>>) -> Witness {
+        Witness {
+            inner,
+            only_primary: self.only_primary.clone(),
+            ledger: std::mem::take(&mut self.ledger),
+            members: std::mem::take(&mut self.members),
+            levels: std::mem::take(&mut self.levels),
+            trials: std::mem::take(&mut self.trials),
+            news: std::mem::take(&mut self.news),
+        }
     }
 
     /// The members that the list names as serving, with the starts it tells.
--- a/poller/src/lib.rs
+++ b/poller/src/lib.rs
@@ -6,7 +6,7 @@
 pub use polling::Events;
 use polling::{AsSource, Event, PollMode, Poller};
 use std::io;
-use std::net::{TcpListener, TcpStream};
+use std::net::{TcpListener, TcpStream, UdpSocket};
 use std::ops::Deref;
 use std::os::fd::AsRawFd;
 use std::os::unix::net::UnixStream;
@@ -23,7 +23,7 @@
 macro_rules! sockets {
     ($($kind:ty),*) => { $(impl sealed::Sealed for $kind {} impl Socket for $kind {})* };
 }
-sockets!(TcpListener, TcpStream, UnixStream);
+sockets!(TcpListener, TcpStream, UdpSocket, UnixStream);
 
 /// What a socket waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod front;
 pub mod net;
 pub mod operators;
+pub mod peers;
 pub mod pgwire;
 pub mod serve;
 pub mod upstream;
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -59,6 +59,9 @@
     if let Some(servers) = told.servers {
         parts.push(format!("db nodes know the router as {}", servers.user));
     }
+    if let Some(peers) = told.peers {
+        parts.push(format!("routers of {} talk at {}", peers.rules.installation, peers.listen));
+    }
     Ok(if parts.is_empty() { "it sets nothing".into() } else { parts.join("; ") })
 }
 
--- a/router/src/net/mod.rs
+++ b/router/src/net/mod.rs
@@ -22,6 +22,8 @@
     Client = 4,
     /// A connection to a db node.
     Backend = 5,
+    /// Other routers.
+    Peers = 6,
 }
 
 const SOURCE_SHIFT: u32 = 56;
@@ -33,7 +35,8 @@
 
 /// Whom that number stands for.
 pub fn split(number: usize) -> (Option<Source>, Key) {
-    let sources = [Source::Listener, Source::Signal, Source::Discovery, Source::Client, Source::Backend];
+    let sources =
+        [Source::Listener, Source::Signal, Source::Discovery, Source::Client, Source::Backend, Source::Peers];
     let source = sources.into_iter().find(|s| *s as usize == number >> SOURCE_SHIFT);
     (source, Key::from_number(number as u64 & ((1 << SOURCE_SHIFT) - 1)))
 }
--- a/router/src/net/signals.rs
+++ b/router/src/net/signals.rs
@@ -2,7 +2,7 @@
 
 use super::{Source, poll_key};
 use plovercove_poller::{Interest, Poll, Registered};
-use signal_hook::consts::{SIGHUP, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1};
 use std::io::{self, ErrorKind, Read};
 use std::os::unix::net::UnixStream;
 use std::sync::Arc;
@@ -15,17 +15,20 @@
     Reload,
     /// SIGTERM: finish.
     Stop,
+    /// SIGUSR1: tell the log what is believed.
+    Tell,
 }
 
 /// The signals that came and have not been taken.
 pub struct Signals {
-    flags: [(Signal, Arc<AtomicBool>); 2],
+    flags: Vec<(Signal, Arc<AtomicBool>)>,
     woken: UnixStream,
+    wakes: UnixStream,
 }
 
 /// The same, on the poller.
 pub struct Registration {
-    flags: [(Signal, Arc<AtomicBool>); 2],
+    flags: Vec<(Signal, Arc<AtomicBool>)>,
     woken: Registered<UnixStream>,
 }
 
@@ -34,15 +37,24 @@
     pub fn catch() -> io::Result<Self> {
         let (woken, wakes) = UnixStream::pair()?;
         woken.set_nonblocking(true)?;
-        let flags = [(SIGHUP, Signal::Reload), (SIGTERM, Signal::Stop)].map(|(number, signal)| {
-            let flag = Arc::new(AtomicBool::new(false));
-            // Danger: woken before the flag is up, the loop would find nothing and sleep on. Actions run in this order.
-            signal_hook::flag::register(number, Arc::clone(&flag))?;
-            signal_hook::low_level::pipe::register(number, wakes.try_clone()?)?;
-            Ok::<_, io::Error>((signal, flag))
-        });
-        let [reload, stop] = flags;
-        Ok(Signals { flags: [reload?, stop?], woken })
+        let mut signals = Signals { flags: Vec::new(), woken, wakes };
+        signals.add(SIGHUP, Signal::Reload)?;
+        signals.add(SIGTERM, Signal::Stop)?;
+        Ok(signals)
+    }
+
+    /// Catches the one that asks what is believed, too: only where there is something to tell.
+    pub fn catch_tell(&mut self) -> io::Result<()> {
+        self.add(SIGUSR1, Signal::Tell)
+    }
+
+    fn add(&mut self, number: i32, signal: Signal) -> io::Result<()> {
+        let flag = Arc::new(AtomicBool::new(false));
+        // Danger: woken before the flag is up, the loop would find nothing and sleep on. Actions run in this order.
+        signal_hook::flag::register(number, Arc::clone(&flag))?;
+        signal_hook::low_level::pipe::register(number, self.wakes.try_clone()?)?;
+        self.flags.push((signal, flag));
+        Ok(())
     }
 
     /// Lets the poller tell of them.
--- a/router/src/operators.rs
+++ b/router/src/operators.rs
@@ -2,6 +2,7 @@
 //! evaluated when the router starts, and again on SIGHUP.
 
 use crate::front::entry::{Defaults, Terms};
+use crate::peers;
 use crate::upstream::pg::Manners;
 use plovercove::{Access, Settings};
 use plovercove_dialect::Version;
@@ -10,6 +11,7 @@
 use plovercove_dialect::throttle;
 use plovercove_dialect::values::{Bytea, Dates, Forms};
 use plovercove_dialect::verifier::Users;
+use plovercove_peers::{Keys, Rules as PeerRules};
 use plovercove_script::{Fault, Script};
 use plovercove_tiers::{Rules, Tiers};
 use serde::Deserialize;
@@ -27,6 +29,24 @@
     pub fronts: Vec<Front>,
     /// Who the router is to its db nodes.
     pub servers: Option<Servers>,
+    /// The other routers; none: routers share nothing.
+    pub peers: Option<Peers>,
+}
+
+/// How routers talk with each other.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Peers {
+    /// Where this router takes datagrams.
+    pub listen: SocketAddr,
+    /// Where the others reach it, if that is another address.
+    pub advertise: Option<SocketAddr>,
+    /// The file that holds the installation's key, seen from the operators' file.
+    pub key_file: PathBuf,
+    /// A second key that is taken as well, while the key is being changed.
+    pub also_key_file: Option<PathBuf>,
+    /// All else.
+    pub rules: PeerRules,
 }
 
 /// A further listener.
@@ -132,12 +152,14 @@
     pub fronts: Vec<(SocketAddr, Terms)>,
     /// Who the router is to its db nodes.
     pub manners: Manners,
+    /// How it talks with other routers, if it does.
+    pub peers: Option<peers::Terms>,
 }
 
 impl Told {
     /// What holds without a file.
     pub fn nothing() -> Self {
-        Told { tiers: None, fronts: Vec::new(), manners: Manners::platform() }
+        Told { tiers: None, fronts: Vec::new(), manners: Manners::platform(), peers: None }
     }
 }
 
@@ -246,6 +268,7 @@
         };
         told.fronts(path, None).map_err(part)?;
         told.manners(path).map_err(part)?;
+        told.peers(path, None).map_err(part)?;
         Ok(told)
     }
 
@@ -283,6 +306,29 @@
         Ok(Manners { login, cancels: told.cancel })
     }
 
+    fn peers(&self, path: &Path, settings: Option<&Settings>) -> Result<Option<peers::Terms>, String> {
+        let Some(told) = &self.peers else { return Ok(None) };
+        let mut rules = told.rules.clone();
+        rules.routers = settings.map_or(1, |s| s.routers);
+        #[cfg(feature = "mutations")]
+        if let Ok(guard) = std::env::var("PLOVERCOVE_WITHOUT") {
+            let known = plovercove_peers::Guard::named(&guard);
+            rules.without = Some(known.ok_or_else(|| format!("PLOVERCOVE_WITHOUT: no guard is {guard:?}"))?);
+        }
+        rules.check().map_err(|e| format!("peers.rules.{e}"))?;
+        if told.advertise.unwrap_or(told.listen).ip().is_unspecified() {
+            return Err("peers.advertise: expected the address where the others reach this router".into());
+        }
+        let folder = path.parent().unwrap_or(Path::new(""));
+        let read = |key: &str, file: &PathBuf| secret(&folder.join(file), &format!("peers.{key}"));
+        let ours = read("key_file", &told.key_file)?;
+        let also = told.also_key_file.as_ref().map(|file| read("also_key_file", file)).transpose()?;
+        let bytes = |key: &str| key.trim_end_matches(['\r', '\n']).as_bytes().to_vec();
+        let keys = Keys::new(&rules.installation, &bytes(&ours), also.as_deref().map(bytes).as_deref());
+        let keys = keys.map_err(|e| format!("peers.key_file: {e}"))?;
+        Ok(Some(peers::Terms { listen: told.listen, advertise: told.advertise, keys, rules }))
+    }
+
     /// The tiers of a router that is told these settings; none where the file sets none.
     ///
     /// # Errors
@@ -315,6 +361,7 @@
             tiers: told.tiers(&self.settings, self.seed).map_err(here)?,
             fronts: told.fronts(&self.path, Some(&self.settings)).map_err(here)?,
             manners: told.manners(&self.path).map_err(here)?,
+            peers: told.peers(&self.path, Some(&self.settings)).map_err(here)?,
         })
     }
 }
--- /dev/null
+++ b/router/src/peers.rs
@@ -0,0 +1,188 @@
+//! Talk with the other routers: one datagram socket, and the crate that knows what to say. Without a `peers` block in the
+//! operators' file none of it is there.
+
+use crate::net::{Source, poll_key};
+use plovercove::{Settings, Time};
+use plovercove_core::{Core, Due};
+use plovercove_peers::{Keys, Life, MOST, News, Peers, Rules, Witness};
+use plovercove_poller::{Interest, Poll, Registered};
+use std::any::Any;
+use std::io::{self, ErrorKind};
+use std::net::{SocketAddr, UdpSocket};
+use tracing::{info, warn};
+
+/// Datagrams read in one turn: a flood of them leaves time for clients.
+const EACH_TURN: usize = 64;
+
+/// What operators say of peers, checked and with the keys read.
+#[derive(Clone)]
+pub struct Terms {
+    /// Where datagrams come.
+    pub listen: SocketAddr,
+    /// Where the others reach this router; its listening address where none is told.
+    pub advertise: Option<SocketAddr>,
+    /// The keys.
+    pub keys: Keys,
+    /// All else.
+    pub rules: Rules,
+}
+
+/// The router among its peers.
+pub struct Talk {
+    socket: Registered<UdpSocket>,
+    peers: Peers,
+    due: Option<Time>,
+    advertise: SocketAddr,
+}
+
+/// The witness that stands beside the module, where peers are on.
+pub fn witness(core: &mut Core) -> Option<&mut Witness> {
+    core.zoning().map(|zoning| zoning as &mut dyn Any).and_then(<dyn Any>::downcast_mut)
+}
+
+impl Talk {
+    /// Opens the socket. Nobody is called yet.
+    pub fn open(
+        poll: &Poll, terms: Terms, name: &str, settings: &Settings, now: Time, seed: u64,
+    ) -> io::Result<Self> {
+        let socket = UdpSocket::bind(terms.listen)?;
+        socket.set_nonblocking(true)?;
+        let listen = socket.local_addr()?;
+        let advertise = terms.advertise.unwrap_or(listen);
+        let me =
+            Life { address: advertise, boot: now, turn: 0, name: name.into(), zone: settings.zone.clone() };
+        info!(reason = "peers", peers = %listen, advertise = %advertise, boot = now, "talks with other routers");
+        let socket = poll.register(socket, poll_key(Source::Peers, None), Interest::Read)?;
+        let peers = Peers::new(terms.rules, terms.keys, me, now, seed);
+        Ok(Talk { socket, peers, due: None, advertise })
+    }
+
+    /// Begins to call the others.
+    pub fn start(&mut self, now: Time, core: &mut Core) {
+        self.turn(now, core);
+    }
+
+    /// Datagrams have come.
+    pub fn event(&mut self, now: Time, core: &mut Core) {
+        let mut bytes = [0; MOST + 1];
+        for _ in 0..EACH_TURN {
+            match self.socket.recv(&mut bytes) {
+                Ok(length) => self.peers.receive(now, &bytes[..length]),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                // Another's port that is closed is told here; SWIM finds out by itself.
+                Err(e) if e.kind() == ErrorKind::ConnectionRefused => {}
+                Err(_) => break,
+            }
+        }
+        self.flush(now, core);
+    }
+
+    /// Something of it is due.
+    pub fn turn(&mut self, now: Time, core: &mut Core) {
+        self.due = None;
+        if let Some(witness) = witness(core) {
+            self.peers.turn(now, witness);
+        }
+        self.flush(now, core);
+    }
+
+    /// Sends, tells the log, and sets the next deadline.
+    fn flush(&mut self, now: Time, core: &mut Core) {
+        for (to, bytes) in self.peers.take_out() {
+            // One that cannot be sent is lost as others are.
+            let _ = self.socket.send_to(&bytes, to);
+        }
+        let mut changed = false;
+        while let Some(news) = self.peers.news() {
+            changed |= matches!(news, News::Verdict { .. });
+            tell(news);
+        }
+        if changed {
+            // Requests that wait are decided anew.
+            core.wake();
+        }
+        let next = self.peers.next();
+        let at = (next < Time::MAX).then(|| next.max(now + 1));
+        core.deadlines.set(&mut self.due, Due::Peers, at);
+    }
+
+    /// Takes over what a running router can: keys.
+    pub fn change(&mut self, terms: Terms) {
+        if terms.rules != *self.peers.rules() || terms.advertise.is_some_and(|a| a != self.advertise) {
+            warn!(reason = "peers", "SIGHUP: of peers only keys are taken over; the rest needs a restart");
+        }
+        self.peers.rekey(terms.keys);
+    }
+
+    /// Tells the others that this router ends.
+    pub fn leave(&mut self, now: Time, core: &mut Core) {
+        self.peers.leave(now);
+        self.flush(now, core);
+    }
+
+    /// Tells the log what this router believes.
+    pub fn dump(&self, core: &mut Core) {
+        let Some(witness) = witness(core) else { return };
+        let belief = self.peers.belief(witness);
+        let levels: Vec<String> =
+            belief.levels.iter().map(|(node, level, age)| format!("{node} {level} {age} ms")).collect();
+        let counts = belief.counts;
+        let dropped: Vec<String> = counts.dropped.iter().map(|(why, n)| format!("{why} {n}")).collect();
+        info!(
+            reason = "belief",
+            me = belief.me,
+            seen = belief.seen,
+            should = belief.should,
+            members = belief.members.join(" "),
+            records = belief.records,
+            levels = levels.join(", "),
+            sent = counts.sent.0,
+            sent_bytes = counts.sent.1,
+            came = counts.came.0,
+            came_bytes = counts.came.1,
+            held_back = counts.held_back,
+            dropped = dropped.join(", "),
+            late = counts.late,
+            unknown = counts.unknown,
+            odd = counts.odd,
+            "what this router believes"
+        );
+    }
+}
+
+fn tell(news: News) {
+    match news {
+        News::Up(life) => {
+            info!(reason = "peer up", router = life.name, address = %life.address, zone = life.zone, boot = life.boot, turn = life.turn, "a router is there");
+        }
+        News::Down(life) => {
+            info!(reason = "peer down", router = life.name, address = %life.address, zone = life.zone, boot = life.boot, turn = life.turn, "a router is gone");
+        }
+        News::Count { seen, should } => info!(reason = "peers", seen, should, "routers"),
+        News::Twins(a, b) => {
+            warn!(reason = "twins", router = a.name, address = %a.address, other = %b.address, "two routers have one name");
+        }
+        News::Again(life) => {
+            info!(reason = "again", turn = life.turn, "the others took this router for gone");
+        }
+        News::Taken => warn!(reason = "taken", "another router holds this one's address"),
+        News::Stood(span) => info!(reason = "stood", ms = span / 1_000, "this router stood still"),
+        News::Dropped(fault, count) => {
+            warn!(reason = "dropped", why = fault.word(), count, "datagrams that cannot be taken");
+        }
+        News::Verdict { node, was, verdict, tries } => {
+            info!(
+                reason = "verdict",
+                %node,
+                was = was.word(),
+                level = verdict.level.word(),
+                why = verdict.why,
+                observers = verdict.observers,
+                oldest_ms = verdict.oldest / 1_000,
+                tries,
+                "node {node}: {}",
+                verdict.level.word()
+            );
+        }
+    }
+}
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -8,9 +8,11 @@
 use crate::net::signals::{Registration, Signal, Signals};
 use crate::net::{Source, split};
 use crate::operators;
+use crate::peers::{self, Talk};
 use crate::upstream::pg::Upstream;
 use plovercove::{ListUpdate, Listed, Time, Zoning};
 use plovercove_core::{Command, Core, Due};
+use plovercove_peers::Witness;
 use plovercove_poller::{Events, Poll};
 use plovercove_settings::Names;
 use plovercove_tiers::Tiers;
@@ -35,6 +37,7 @@
     upstream: Upstream,
     discovery: Discovery,
     operators: Option<operators::Source>,
+    peers: Option<Talk>,
     stopping: bool,
 }
 
@@ -43,10 +46,13 @@
     ///
     /// `told` is what operators say; `operators` is the file that it comes from, read again on SIGHUP.
     pub fn new(
-        config: Config, told: operators::Told, operators: Option<operators::Source>, signals: Signals,
+        config: Config, told: operators::Told, operators: Option<operators::Source>, mut signals: Signals,
     ) -> io::Result<Self> {
-        let operators::Told { tiers, fronts, manners } = told;
+        let operators::Told { tiers, fronts, manners, peers } = told;
         let poll = Poll::new()?;
+        if peers.is_some() {
+            signals.catch_tell()?;
+        }
         let signals = signals.register(&poll)?;
         let listener = TcpListener::bind(config.listen)?;
         let listen = listener.local_addr()?;
@@ -55,8 +61,16 @@
         let names = Names::of(&settings);
         // What is known is of some version: only what came after it is asked for, a few lines instead of all of them.
         let index = Some(config.known.index).filter(|_| !config.known.entries.is_empty());
+        let clock = Clock::default();
+        let zoning = tiers.map(|tiers| Box::new(tiers) as Box<dyn Zoning>);
+        let zoning = match &peers {
+            Some(terms) => Some(Box::new(Witness::new(&terms.rules, &settings, zoning)) as Box<dyn Zoning>),
+            None => zoning,
+        };
+        let talk = |terms| Talk::open(&poll, terms, &config.name, &settings, clock.now(), config.seed);
         let mut router = Router {
-            clock: Clock::default(),
+            peers: peers.map(talk).transpose()?,
+            clock,
             signals,
             front: Front::new(&poll, &budget, listener, config.clients, names, longest)?,
             upstream: Upstream::new(
@@ -68,8 +82,8 @@
                 settings.connection_idle,
             ),
             discovery: Discovery::new(&poll, config.discovery, index, config.seed),
-            core: match tiers {
-                Some(tiers) => Core::new(settings, config.seed).zoned(Box::new(tiers)),
+            core: match zoning {
+                Some(zoning) => Core::new(settings, config.seed).zoned(zoning),
                 None => Core::new(settings, config.seed),
             },
             operators,
@@ -91,6 +105,9 @@
         let mut events = Events::new();
         let now = self.clock.now();
         self.discovery.start(now, &mut self.core);
+        if let Some(peers) = &mut self.peers {
+            peers.start(now, &mut self.core);
+        }
         let mut at_once = self.decide(now);
         while !(self.stopping && self.front.connected() == 0) {
             let now = self.clock.now();
@@ -130,9 +147,13 @@
                 match signal {
                     Signal::Reload => self.reload(now),
                     Signal::Stop => self.terminate(now),
+                    Signal::Tell => self.peers.iter().for_each(|peers| peers.dump(&mut self.core)),
                 }
             }
         }
+        for _ in of(Source::Peers) {
+            self.peers.iter_mut().for_each(|peers| peers.event(now, &mut self.core));
+        }
         for (key, _) in of(Source::Backend) {
             self.upstream.event(key, now, &mut self.core);
         }
@@ -157,6 +178,7 @@
             Due::Backend(key) => self.upstream.expired(key, now, &mut self.core),
             Due::Client(key) => self.front.look_over(key, now, &mut self.core),
             Due::Discovery => self.discovery.due(now, &mut self.core),
+            Due::Peers => self.peers.iter_mut().for_each(|peers| peers.turn(now, &mut self.core)),
             Due::Accept => self.front.resume_accepting(now, &mut self.core),
             Due::Stop => {
                 self.front.drain(now, &mut self.core);
@@ -246,21 +268,38 @@
                 }
             }
             self.upstream.change(told.manners);
+            match (&mut self.peers, told.peers) {
+                (Some(peers), Some(terms)) => peers.change(terms),
+                (None, None) => {}
+                _ => warn!(reason = "peers", "SIGHUP: whether routers talk needs a restart"),
+            }
             info!(zones, "SIGHUP: the operators' file was taken over");
         }
     }
 
     /// Puts other tiers in the place of those in use; they go on from what these have learned.
     fn rezone(&mut self, mut tiers: Option<Tiers>, now: Time) {
-        let old = self.core.zoning().map(|zoning| zoning as &mut dyn Any).and_then(<dyn Any>::downcast_mut);
+        let old = match peers::witness(&mut self.core) {
+            Some(witness) => witness.inner(),
+            None => self.core.zoning(),
+        };
+        let old = old.map(|zoning| zoning as &mut dyn Any).and_then(<dyn Any>::downcast_mut);
         if let (Some(fresh), Some(old)) = (&mut tiers, old) {
             fresh.inherit(old);
         }
-        self.core.rezone(now, tiers.map(|tiers| Box::new(tiers) as Box<dyn Zoning>));
+        let tiers = tiers.map(|tiers| Box::new(tiers) as Box<dyn Zoning>);
+        match peers::witness(&mut self.core) {
+            Some(witness) => {
+                let witness = witness.with(tiers);
+                self.core.rezone(now, Some(Box::new(witness)));
+            }
+            None => self.core.rezone(now, tiers),
+        }
     }
 
     fn terminate(&mut self, now: Time) {
         info!(held = self.core.held(), "SIGTERM: finishing what has been taken on");
+        self.peers.iter_mut().for_each(|peers| peers.leave(now, &mut self.core));
         self.core.deadlines.add(now + STILL_ACCEPTING, Due::Stop);
     }
 }
--- a/standin/src/agent.rs
+++ b/standin/src/agent.rs
@@ -8,25 +8,34 @@
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+/// One that keeps silent looks so often whether it still is to.
+const LOOKS: Duration = Duration::from_millis(50);
 /// A watch lasts no longer.
 const LONGEST: Duration = Duration::from_secs(60);
 
 /// One node of the list.
-pub(crate) struct Entry {
-    pub(crate) name: String,
-    pub(crate) address: SocketAddr,
-    pub(crate) zone: String,
+pub struct Entry {
+    /// Its name.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
     /// Its group, as the list counts them.
-    pub(crate) group: u64,
-    pub(crate) head: bool,
+    pub group: u64,
+    /// Whether it is the primary.
+    pub head: bool,
     /// Since when it runs, if it is not for long.
-    pub(crate) started: Option<Time>,
+    pub started: Option<Time>,
+    /// Whether it drains.
+    pub draining: bool,
 }
 
 #[derive(Default)]
 struct Told {
     version: u64,
     entries: Vec<Value>,
+    hushed: bool,
 }
 
 struct Board {
@@ -35,13 +44,17 @@
 }
 
 /// The agent.
-pub(crate) struct Agent {
-    pub(crate) address: SocketAddr,
+pub struct Agent {
+    address: SocketAddr,
     board: Arc<Board>,
 }
 
 impl Agent {
-    pub(crate) fn start() -> io::Result<Self> {
+    /// An agent that knows no node yet.
+    ///
+    /// # Errors
+    /// No port could be had.
+    pub fn start() -> io::Result<Self> {
         let listener = TcpListener::bind(("127.0.0.1", 0))?;
         let address = listener.local_addr()?;
         let board = Arc::new(Board { told: Mutex::default(), news: Condvar::new() });
@@ -55,12 +68,23 @@
         Ok(Agent { address, board })
     }
 
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// From now on it takes calls and does not answer, or answers again.
+    pub fn hush(&self, on: bool) {
+        self.board.told.lock().unwrap_or_else(PoisonError::into_inner).hushed = on;
+        self.board.news.notify_all();
+    }
+
     /// From now on this is the list.
-    pub(crate) fn tell(&self, nodes: impl Iterator<Item = Entry>) {
+    pub fn tell(&self, nodes: impl Iterator<Item = Entry>) {
         let entry = |e: Entry| {
             json!({
                 "name": e.name, "address": e.address.to_string(), "zone": e.zone, "type": "std", "group": e.group,
-                "status": "active", "weight": 1.0, "since_ms": e.started.unwrap_or(0) / 1_000,
+                "status": if e.draining { "leaving" } else { "active" }, "weight": 1.0, "since_ms": e.started.unwrap_or(0) / 1_000,
                 "replication": if e.head { "primary" } else { "standby" },
             })
         };
@@ -87,8 +111,8 @@
         let wait = Duration::from_millis(number(&first, "wait_ms").unwrap_or(0)).min(LONGEST);
         let until = Instant::now() + wait;
         let mut told = board.told.lock().unwrap_or_else(PoisonError::into_inner);
-        while told.version <= after && Instant::now() < until {
-            let left = until.saturating_duration_since(Instant::now());
+        while told.hushed || (told.version <= after && Instant::now() < until) {
+            let left = until.saturating_duration_since(Instant::now()).max(LOOKS);
             told = board.news.wait_timeout(told, left).unwrap_or_else(PoisonError::into_inner).0;
         }
         let news = told.version > after;
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -64,7 +64,7 @@
 
     /// Where the agent listens.
     pub fn agent(&self) -> SocketAddr {
-        self.agent.address
+        self.agent.address()
     }
 
     /// Tells the list as things stand.
@@ -79,6 +79,7 @@
                 group: node.group as u64 + 1,
                 head,
                 started: inside.machine.started(),
+                draining: false,
             })
         });
         self.agent.tell(entries);
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -5,14 +5,18 @@
 mod agent;
 mod client;
 mod fleet;
+pub mod links;
 mod node;
 pub mod old;
 pub mod process;
 pub mod rough;
 pub mod server;
 mod shared;
+pub mod trial;
 mod wire;
+pub mod wires;
 
+pub use agent::{Agent, Entry};
 pub use client::{Caller, Clients, Fate, Sample};
 pub use fleet::{Fleet, Tally};
 
--- a/standin/src/process.rs
+++ b/standin/src/process.rs
@@ -174,6 +174,11 @@
         self.log.said().lines.clone()
     }
 
+    /// The lines of its log after so many.
+    pub fn since(&self, count: usize) -> Vec<String> {
+        self.log.said().lines.get(count..).unwrap_or_default().to_vec()
+    }
+
     /// Waits for a line of its log that holds these words.
     pub fn says(&self, words: &str, within: Duration) -> Option<String> {
         self.log.find(within, |lines| lines.iter().find(|line| line.contains(words)).cloned())
