--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -17,7 +17,7 @@
 pub use rules::{Breach, Rule};
 pub use spec::*;
 pub use strict::Strict;
-pub use world::run;
+pub use world::{Talked, run};
 
 /// The generator of all random numbers here.
 pub type Dice = rand_pcg::Pcg64Mcg;
--- a/fleet/src/report.rs
+++ b/fleet/src/report.rs
@@ -44,6 +44,12 @@
     pub spill_over: f64,
     /// The most that was spilled to a zone in any second, as a share of its capacity.
     pub spill_most: f64,
+    /// Probes sent.
+    pub probes: u64,
+    /// Attempts sent to nodes that were silent or answered with errors just then.
+    pub to_bad: u64,
+    /// What came of the talk between routers.
+    pub talked: Option<crate::world::Talked>,
     /// Nodes that fell over.
     pub fallen: u32,
     /// Seconds after the loss until service is back to 95 % of what is left.
--- a/fleet/src/spec.rs
+++ b/fleet/src/spec.rs
@@ -307,6 +307,14 @@
         /// Seconds that each is down.
         down_s: f64,
     },
+    /// A share of all nodes takes requests in and answers none, or answers this share of them with errors.
+    Bad {
+        /// Which share.
+        part: f64,
+        /// The share that ends in errors; none: they are silent.
+        #[serde(default)]
+        errors: Option<f64>,
+    },
     /// A share of all nodes runs so many times slower.
     Slow {
         /// Which share.
@@ -398,6 +406,19 @@
     /// Rules for tiers; where left out, one tier of all other zones and the usual limits.
     #[serde(default)]
     pub tiers: Option<Rules>,
+    /// Routers talk with each other; none: they share nothing.
+    #[serde(default)]
+    pub peers: Option<PeerSpec>,
+}
+
+/// Talk between routers.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PeerSpec {
+    /// The rules of the operators' file.
+    pub rules: plovercove_peers::Rules,
+    /// The share of datagrams that is lost.
+    pub loss: f64,
 }
 
 /// What is wrong with an experiment: the key and why.
--- a/fleet/src/world.rs
+++ b/fleet/src/world.rs
@@ -8,6 +8,9 @@
 mod nodes;
 mod routers;
 mod summary;
+mod talk;
+
+pub use talk::Talked;
 
 use crate::Dice;
 use crate::node::Machine;
@@ -87,6 +90,16 @@
     Elect(u32),
     Stop(u32),
     Start(u32),
+    /// Something of a router's talk with others is due, or a datagram arrives.
+    Talk {
+        router: u32,
+        epoch: u32,
+    },
+    Datagram {
+        router: u32,
+        epoch: u32,
+        slot: u32,
+    },
     Tick,
 }
 
@@ -143,6 +156,9 @@
     /// When each node started, as far as it was told.
     starts: HashMap<u32, Time>,
     attempts: HashMap<AttemptId, u32>,
+    talk: Option<talk::Talk>,
+    /// When it was last stopped or started.
+    struck: Option<Time>,
 }
 
 struct Run {
@@ -224,6 +240,15 @@
     /// Up to which draw each group is asked for, where they are not alike.
     popular: Vec<f64>,
     works: Vec<LogNormal<f64>>,
+    /// Datagrams between routers that are under way.
+    datagrams: Slab<Vec<u8>>,
+    /// From and until when each node has a fault.
+    faulty: Vec<Option<(Time, Time)>>,
+    /// Which nodes are silent, or which share of their answers are errors.
+    bad: Vec<Option<Option<f64>>>,
+    /// When links between zones were last cut.
+    cut_at: Option<Time>,
+    talked: Talked,
     spill_limit: f64,
     seed: u64,
     // what is counted
@@ -244,6 +269,8 @@
     window: (f64, f64),
     local: (u64, u64),
     fallen: u32,
+    probes: u64,
+    to_bad: u64,
     events: u64,
 }
 
@@ -340,6 +367,8 @@
                     pauses: Backoff::new(CALL_PAUSES.0, CALL_PAUSES.1, seed ^ routers.len() as u64),
                     starts: HashMap::new(),
                     attempts: HashMap::new(),
+                    talk: None,
+                    struck: None,
                 });
             }
         }
@@ -377,6 +406,11 @@
             popular,
             shares: spec.classes.iter().map(|c| c.share / shares).collect(),
             works: spec.classes.iter().map(work).collect(),
+            datagrams: Slab::new(),
+            faulty: vec![None; all_nodes],
+            bad: vec![None; all_nodes],
+            cut_at: None,
+            talked: Talked::default(),
             spill_limit: spec.rules().spill,
             seed,
             seconds: vec![
@@ -473,6 +507,8 @@
                 // The rules were good when the run began.
                 let _ = self.boot(router as usize);
             }
+            Event::Talk { router, epoch } => self.talk(router, epoch),
+            Event::Datagram { router, epoch, slot } => self.datagram(router, epoch, slot),
             Event::Tick => self.tick(),
         }
     }
--- a/fleet/src/world/faults.rs
+++ b/fleet/src/world/faults.rs
@@ -22,6 +22,7 @@
     }
 
     pub(super) fn begin(&mut self, n: usize) {
+        self.cut_now(n);
         match self.spec.faults[n].what.clone() {
             Trouble::ZoneDown { zone, part } => {
                 let nodes = self.pick(Some(self.place(&zone)), part);
@@ -74,15 +75,38 @@
                     self.at(stop + us(down_s), Event::Start(router));
                 }
             }
+            Trouble::Bad { part, errors } => {
+                let nodes = self.pick(None, part);
+                self.fault(&nodes, self.spec.faults[n].until);
+                nodes.iter().for_each(|node| self.bad[*node as usize] = Some(errors));
+                self.picked[n] = nodes;
+            }
             Trouble::Slow { part, times } => {
                 let nodes = self.pick(None, part);
+                self.fault(&nodes, self.spec.faults[n].until);
                 nodes.iter().for_each(|node| self.nodes[*node as usize].machine.slow(times));
                 self.picked[n] = nodes;
             }
         }
     }
 
+    /// Where links are cut or healed, nobody is blamed for whom it misses for a while; nor are nodes behind them well.
+    fn cut_now(&mut self, n: usize) {
+        let zone = match &self.spec.faults[n].what {
+            Trouble::BlackHole { zone, .. } => zone,
+            Trouble::Cut { to, .. } => to,
+            _ => return,
+        };
+        let zone = self.place(zone);
+        let nodes: Vec<u32> =
+            (0..self.nodes.len() as u32).filter(|n| self.nodes[*n as usize].zone == zone).collect();
+        let until = self.spec.faults[n].until;
+        self.fault(&nodes, until);
+        self.cut_at = Some(self.now);
+    }
+
     pub(super) fn finish(&mut self, n: usize) {
+        self.cut_now(n);
         match self.spec.faults[n].what.clone() {
             Trouble::ZoneDown { .. } => {
                 let nodes = std::mem::take(&mut self.picked[n]);
@@ -139,6 +163,10 @@
                 }
             }
             Trouble::Rollout { .. } => {}
+            Trouble::Bad { .. } => {
+                let nodes = std::mem::take(&mut self.picked[n]);
+                nodes.iter().for_each(|node| self.bad[*node as usize] = None);
+            }
             Trouble::Slow { .. } => {
                 let nodes = std::mem::take(&mut self.picked[n]);
                 nodes.iter().for_each(|node| self.nodes[*node as usize].machine.slow(1.0));
--- a/fleet/src/world/links.rs
+++ b/fleet/src/world/links.rs
@@ -45,6 +45,7 @@
         let class = self.requests[id as usize].class;
         let (from, to) = (self.routers[router as usize].zone, self.nodes[node as usize].zone);
         self.counted.attempts += 1;
+        self.counted.to_bad += u64::from(self.bad[node as usize].is_some());
         let grace = self.settings[router as usize].drain_grace;
         if self.routers[router as usize].closed.get(name).is_some_and(|told| self.now > told + grace) {
             self.breaches.add(Rule::Drain, second, || format!("router {router} to node {name}"));
--- a/fleet/src/world/nodes.rs
+++ b/fleet/src/world/nodes.rs
@@ -32,6 +32,9 @@
             let press = Press { at: self.now, work, told, write, again: run.attempt.number > 0 };
             self.pressure.add(node, press);
         }
+        if self.bad[node as usize] == Some(None) {
+            return self.vanish(id);
+        }
         match known.machine.offer(self.now, id, work) {
             Offer::Runs(until) => self.begins(id, until),
             Offer::Waits => self.runs[id as usize].at_node = true,
@@ -79,7 +82,8 @@
         let (group, member) = (self.nodes[node as usize].group, self.nodes[node as usize].member);
         let (request, class) = (self.runs[id as usize].request, self.runs[id as usize].class);
         let write = self.spec.classes[class as usize].reads == Reads::Write;
-        let failed = self.dice.random::<f64>() < self.spec.node.errors;
+        let errors = self.bad[node as usize].flatten().unwrap_or(self.spec.node.errors);
+        let failed = self.dice.random::<f64>() < errors;
         let log = &mut self.groups[group].0;
         if write && log.primary() != Some(member) {
             return self.reply(id, Ending::Failure);
@@ -102,6 +106,7 @@
             return;
         }
         (known.up, known.epoch, known.connections) = (false, known.epoch + 1, 0);
+        self.faulty[node as usize] = Some((self.now, Time::MAX / 2));
         drop(known.machine.stop());
         let (group, member) = (known.group, known.member);
         let lost: Vec<u32> =
@@ -141,6 +146,8 @@
         (known.up, known.epoch) = (true, known.epoch + 1);
         known.machine.restart(now);
         self.pressure.clear(node);
+        // Until all have heard that it is another start.
+        self.faulty[node as usize] = Some((now, now + DEEMED));
         let (group, member) = (known.group, known.member);
         self.groups[group].0.rejoin(member, now);
         if self.groups[group].0.primary().is_none() {
--- a/fleet/src/world/routers.rs
+++ b/fleet/src/world/routers.rs
@@ -3,7 +3,7 @@
 use super::{BEGIN, Event, World, us};
 use crate::spec::{SpecFault, Variant};
 use crate::strict::Strict;
-use plovercove::{ListUpdate, NodeId, Role, Standing};
+use plovercove::{ListUpdate, NodeId, Role, Standing, Zoning};
 use plovercove_core::{Answer, Command, Core, Due};
 use plovercove_tiers::Tiers;
 
@@ -16,15 +16,26 @@
         let name = &self.spec.zones[zone].name;
         let (settings, epoch) = (self.settings[router].clone(), self.routers[router].epoch);
         let seed = self.seed ^ ((router as u64 + 1) << 20) ^ (u64::from(epoch) << 50);
-        let core = Core::new(settings.clone(), seed);
-        let mut core = match self.spec.variant {
-            Variant::Flat => core,
-            Variant::Strict => core.zoned(Box::new(Strict::new(name))),
+        let zoning: Option<Box<dyn Zoning>> = match self.spec.variant {
+            Variant::Flat => None,
+            Variant::Strict => Some(Box::new(Strict::new(name))),
             Variant::Tiers => {
                 let tiers = Tiers::new(self.spec.rules(), &settings, seed);
-                core.zoned(Box::new(tiers.map_err(|e| SpecFault(format!("tiers.{e}")))?))
+                Some(Box::new(tiers.map_err(|e| SpecFault(format!("tiers.{e}")))?))
             }
         };
+        let zoning = match &self.spec.peers {
+            Some(peers) => Some(self.join(peers, router, zoning)?),
+            None => zoning,
+        };
+        let core = Core::new(settings, seed);
+        let mut core = match zoning {
+            Some(zoning) => core.zoned(zoning),
+            None => core,
+        };
+        if self.now > BEGIN {
+            self.routers[router].struck = Some(self.now);
+        }
         // What it had last. It may be old.
         let told = self.routers[router].told;
         let known = self.list_at(told);
@@ -40,16 +51,19 @@
             self.routers[router].core.as_mut().expect("just made").list(ListUpdate::Full(list));
         }
         self.settle(router as u32);
+        self.say(router as u32);
         Ok(())
     }
 
     pub(super) fn stop(&mut self, router: u32) {
+        let now = self.now;
         let r = &mut self.routers[router as usize];
         if r.core.take().is_none() {
             return;
         }
         r.epoch += 1;
         r.wake = None;
+        (r.talk, r.struck) = (None, Some(now));
         let pools = std::mem::replace(&mut r.pools, vec![(0, 0); self.nodes.len()]);
         let attempts = std::mem::take(&mut r.attempts);
         for (node, (epoch, idle)) in self.nodes.iter_mut().zip(pools) {
@@ -163,6 +177,7 @@
     }
 
     pub(super) fn probe(&mut self, router: u32, node: &NodeId) {
+        self.counted.probes += 1;
         let Some(&node) = self.names.get(node) else { return };
         let epoch = self.routers[router as usize].epoch;
         match self.out(router, node) {
--- /dev/null
+++ b/fleet/src/world/talk.rs
@@ -0,0 +1,190 @@
+//! Routers that talk with each other: the same crate as in the router, its datagrams on links that lose and delay.
+
+use super::{BEGIN, Event, World, us};
+use crate::spec::{PeerSpec, SpecFault};
+use plovercove::{NodeId, Span, Zoning};
+use plovercove_core::Core;
+use plovercove_peers::{Keys, Level, Life, News, Peers, Witness};
+use rand::RngExt;
+use std::any::Any;
+use std::net::{Ipv4Addr, SocketAddr};
+
+/// Routers that are asked by those who know nobody.
+const SEEDS: usize = 3;
+/// After a node's fault is over, or a router was struck, what is said of it is excused for so long beyond the evidence's life.
+const AFTER: Span = 2_000_000;
+
+/// One router's talk.
+pub(super) struct Talk {
+    pub(super) peers: Peers,
+    /// When it is to be woken next.
+    due: Option<plovercove::Time>,
+}
+
+/// What came of it, over all routers.
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize)]
+pub struct Talked {
+    /// Datagrams and bytes that were sent.
+    pub sent: (u64, u64),
+    /// Datagrams that were lost.
+    pub lost: u64,
+    /// Times that a router took a node out.
+    pub outs: u64,
+    /// ... of which the node had no fault.
+    pub wrong_outs: u64,
+    /// Times that a router took another for gone that was there and could be reached.
+    pub false_downs: u64,
+    /// Seconds from the first fault of a node until every router that was up then had taken that node out; none: never.
+    pub all_out: Option<f64>,
+}
+
+fn address(router: usize) -> SocketAddr {
+    let n = router as u32;
+    SocketAddr::from((Ipv4Addr::from(0x0a00_0000 + n / 250), 7_000 + (n % 250) as u16))
+}
+
+fn router_of(address: SocketAddr) -> Option<usize> {
+    let SocketAddr::V4(at) = address else { return None };
+    let row = u32::from(*at.ip()).checked_sub(0x0a00_0000)?;
+    Some(row as usize * 250 + usize::from(at.port().checked_sub(7_000)?))
+}
+
+impl World<'_> {
+    /// Puts a router among its peers.
+    pub(super) fn join(
+        &mut self, spec: &PeerSpec, router: usize, inner: Option<Box<dyn Zoning>>,
+    ) -> Result<Box<dyn Zoning>, SpecFault> {
+        let mut rules = spec.rules.clone();
+        rules.installation = "model".into();
+        rules.routers = self.routers.len() as u32;
+        rules.seeds = (0..self.routers.len().min(SEEDS)).map(address).collect();
+        rules.check().map_err(|e| SpecFault(format!("peers.rules.{e}")))?;
+        let keys = Keys::new("model", b"one key for all of them", None);
+        let keys = keys.map_err(|e| SpecFault(format!("peers: {e}")))?;
+        let zone = self.spec.zones[self.routers[router].zone].name.clone();
+        let me = Life { address: address(router), boot: self.now, turn: 0, name: format!("n{router}"), zone };
+        let witness = Witness::new(&rules, &self.settings[router], inner);
+        let peers = Peers::new(rules, keys, me, self.now, self.seed ^ ((router as u64) << 12));
+        self.routers[router].talk = Some(Talk { peers, due: None });
+        Ok(Box::new(witness))
+    }
+
+    /// Something of a router's talk is due.
+    pub(super) fn talk(&mut self, router: u32, epoch: u32) {
+        let now = self.now;
+        let r = &mut self.routers[router as usize];
+        let (Some(talk), Some(core)) = (&mut r.talk, &mut r.core) else { return };
+        if r.epoch != epoch || talk.due.is_none_or(|at| at > now) {
+            return;
+        }
+        talk.due = None;
+        if let Some(witness) = witness(core) {
+            talk.peers.turn(now, witness);
+        }
+        self.say(router);
+    }
+
+    /// A datagram arrives.
+    pub(super) fn datagram(&mut self, router: u32, epoch: u32, slot: u32) {
+        let bytes = self.datagrams.remove(slot as usize);
+        let now = self.now;
+        let r = &mut self.routers[router as usize];
+        let Some(talk) = r.talk.as_mut().filter(|_| r.epoch == epoch && r.core.is_some()) else { return };
+        talk.peers.receive(now, &bytes);
+        self.say(router);
+    }
+
+    /// Sends what a router wants sent, and writes down what it tells.
+    pub(super) fn say(&mut self, router: u32) {
+        let now = self.now;
+        let r = &mut self.routers[router as usize];
+        let epoch = r.epoch;
+        let Some(talk) = &mut r.talk else { return };
+        let out = talk.peers.take_out();
+        let news: Vec<News> = std::iter::from_fn(|| talk.peers.news()).collect();
+        let next = talk.peers.next().max(now + 1);
+        if next < plovercove::Time::MAX && talk.due.is_none_or(|at| next < at) {
+            talk.due = Some(next);
+            self.at(next, Event::Talk { router, epoch });
+        }
+        let loss = self.spec.peers.as_ref().map_or(0.0, |p| p.loss);
+        for (to, bytes) in out {
+            let Some(to) = router_of(to).filter(|n| *n < self.routers.len()) else { continue };
+            self.talked.sent.0 += 1;
+            self.talked.sent.1 += bytes.len() as u64;
+            let (a, b) = (self.routers[router as usize].zone, self.routers[to].zone);
+            let cut = self.to_router[a][b] > 0 || self.to_node[a][b] > 0;
+            if cut || self.dice.random::<f64>() < loss {
+                self.talked.lost += 1;
+                continue;
+            }
+            let wait = (self.trips[a][b] * self.uniform((0.85, 1.25))) as Span;
+            let (slot, epoch) = (self.datagrams.insert(bytes) as u32, self.routers[to].epoch);
+            self.at(now + wait, Event::Datagram { router: to as u32, epoch, slot });
+        }
+        let mut changed = false;
+        for news in news {
+            changed |= matches!(news, News::Verdict { .. });
+            self.heard(router, news);
+        }
+        if changed {
+            if let Some(core) = &mut self.routers[router as usize].core {
+                core.wake();
+            }
+            self.settle(router);
+        }
+    }
+
+    fn heard(&mut self, router: u32, news: News) {
+        let now = self.now;
+        match news {
+            News::Verdict { node, verdict, .. } if verdict.level == Level::Out => {
+                self.talked.outs += 1;
+                let evidence = self.spec.peers.as_ref().map_or(0, |p| p.rules.oldest_evidence());
+                let number = self.names.get(&node).copied();
+                let fault = number.and_then(|n| self.faulty[n as usize]);
+                let excused = fault.is_some_and(|(_, until)| now <= until.saturating_add(evidence + AFTER));
+                self.talked.wrong_outs += u64::from(!excused);
+                if let Some(n) = number.filter(|_| excused) {
+                    self.all_out(n, &node);
+                }
+            }
+            News::Down(life) => {
+                let there = life.name.strip_prefix('n').and_then(|n| n.parse::<usize>().ok());
+                let Some(there) = there.filter(|n| *n < self.routers.len()) else { return };
+                let window = self.spec.peers.as_ref().map_or(0, |p| p.rules.agree_within());
+                let calm = |at: Option<plovercove::Time>| at.is_none_or(|at| now > at + window);
+                let (a, b) = (&self.routers[there], &self.routers[router as usize]);
+                if calm(a.struck) && calm(b.struck) && calm(self.cut_at) {
+                    self.talked.false_downs += 1;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Whether all routers that are up have taken a node out by now, which counts from the beginning of its fault.
+    fn all_out(&mut self, number: u32, node: &NodeId) {
+        if self.talked.all_out.is_some() {
+            return;
+        }
+        let out = |core: &mut Core| witness(core).is_some_and(|w| w.level(node) == Level::Out);
+        if self.routers.iter_mut().all(|r| r.core.as_mut().is_none_or(out))
+            && let Some((from, _)) = self.faulty[number as usize]
+        {
+            self.talked.all_out = Some((self.now - from) as f64 / 1e6);
+        }
+    }
+
+    /// A node has a fault until then, or for ever.
+    pub(super) fn fault(&mut self, nodes: &[u32], until: f64) {
+        for node in nodes {
+            self.faulty[*node as usize] = Some((self.now, BEGIN + us(until)));
+        }
+    }
+}
+
+/// The witness beside a router's module.
+fn witness(core: &mut Core) -> Option<&mut Witness> {
+    core.zoning().map(|zoning| zoning as &mut dyn Any).and_then(<dyn Any>::downcast_mut)
+}
--- a/lab/src/table.rs
+++ b/lab/src/table.rs
@@ -34,6 +34,40 @@
     }
 }
 
+/// What talk between routers came to, where there is any.
+fn talks(out: &mut String, experiment: &Experiment, outcomes: &[Outcome]) {
+    if outcomes.iter().all(|o| o.report.talked.is_none()) {
+        return;
+    }
+    let _ = writeln!(
+        out,
+        "| case | attempts to bad nodes | probes | taken out | wrongly | false downs | all out after (s, median/longest) | datagrams, bytes a second and router |"
+    );
+    let _ = writeln!(out, "| --- | --- | --- | --- | --- | --- | --- | --- |");
+    for (case, spec) in &experiment.cases {
+        let runs: Vec<&Report> = outcomes.iter().filter(|o| o.case == *case).map(|o| &o.report).collect();
+        let routers = spec.zones.iter().map(|z| z.routers).sum::<usize>() as f64;
+        let talked = || runs.iter().filter_map(|r| r.talked.as_ref());
+        let rate = |sent: fn(&plovercove_fleet::Talked) -> u64| {
+            mean(talked().map(|t| sent(t) as f64 / routers / (spec.seconds + 8.0)))
+        };
+        let sum = |count: fn(&plovercove_fleet::Talked) -> u64| talked().map(count).sum::<u64>();
+        let _ = writeln!(
+            out,
+            "| {case} | {:.0} | {:.0} | {} | {} | {} | {} | {:.1}, {:.0} |",
+            mean(runs.iter().map(|r| r.to_bad as f64)),
+            mean(runs.iter().map(|r| r.probes as f64)),
+            sum(|t| t.outs),
+            sum(|t| t.wrong_outs),
+            sum(|t| t.false_downs),
+            times(&talked().map(|t| t.all_out).collect::<Vec<_>>()),
+            rate(|t| t.sent.0),
+            rate(|t| t.sent.1),
+        );
+    }
+    let _ = writeln!(out);
+}
+
 /// The table, and below it what was broken.
 pub fn summary(experiment: &Experiment, outcomes: &[Outcome]) -> String {
     let mut out = String::new();
@@ -67,6 +101,7 @@
     }
     let _ = writeln!(out);
     against(&mut out, experiment, outcomes);
+    talks(&mut out, experiment, outcomes);
     for o in outcomes {
         for b in &o.report.breaches {
             let (at, what) = &b.first;
--- a/peers/src/ledger.rs
+++ b/peers/src/ledger.rs
@@ -11,8 +11,11 @@
 const SAMPLES: u32 = 5;
 /// Slower than others by so many times is worth telling.
 const SLOW: f64 = 3.0;
-/// Routers that answer an accusation with what they saw themselves, of all: enough to outvote a few.
-const ANSWER: f64 = 16.0;
+/// Once so many accuse a node, or say that it serves, who has not done so yet need not: it would only cost all of them
+/// datagrams.
+const ENOUGH: usize = 12;
+/// Who answers an accusation must have been answered by the node within this time: what it did before says nothing.
+const FRESH: Span = 2_000_000;
 /// So much of a faded count is still one sight.
 const SIGHT: f64 = 0.5;
 
@@ -55,6 +58,11 @@
         !self.fails() && f64::from(self.answers) / 10.0 >= SIGHT
     }
 
+    /// Whether it is slow enough to be worth telling.
+    pub(crate) fn is_slow(&self) -> bool {
+        self.slowness().unwrap_or(1.0) >= SLOW
+    }
+
     /// For how long it had been so when this was told (us).
     pub fn lasted(&self) -> Span {
         Span::from(self.lasted) * 100_000
@@ -76,6 +84,10 @@
     slow: f64,
     samples: u32,
     told: Option<(Time, Seen)>,
+    /// When it answered last.
+    answered: Time,
+    /// Since when enough others accuse it that it matters what this router saw.
+    contested: Option<Time>,
     /// Since when it fails or is slow.
     since: Option<Time>,
 }
@@ -101,6 +113,19 @@
     }
 }
 
+/// What the others say of a node.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Others {
+    /// How many accuse it.
+    pub accusers: usize,
+    /// How many say that it serves.
+    pub supporters: usize,
+    /// Whether one more accuser could take it out.
+    pub contested: bool,
+    /// How long this router waits before it says that it serves: another may say so first.
+    pub wait: Span,
+}
+
 /// What a router saw.
 #[derive(Default)]
 pub struct Ledger {
@@ -166,6 +191,9 @@
         let Some(node) = self.nodes.get_mut(id) else { return };
         node.fade(now, half);
         node.counts[place] += 1.0;
+        if place == 0 {
+            node.answered = now;
+        }
         if ending == Ending::Success
             && let Some(usual) = self.usual.get_mut(class)
         {
@@ -177,10 +205,9 @@
     }
 
     /// What is worth telling now: a node that begins or goes on to fail, or that is slow, and what this router saw of one
-    /// that others accuse. Each with its node, that node's start, and what was seen.
+    /// that others accuse; `others` tells how many others accuse it, and how many say that it serves. Each with its node, that node's start, and what was seen.
     pub fn news(
-        &mut self, now: Time, rules: &Rules, contested: impl Fn(&NodeId) -> bool,
-        chance: impl Fn(&NodeId) -> f64,
+        &mut self, now: Time, rules: &Rules, others: impl Fn(&NodeId) -> Others,
     ) -> Vec<(NodeId, Option<Time>, Seen)> {
         let (half, life) = (self.half, rules.evidence());
         let seen: Vec<(NodeId, Seen)> =
@@ -192,7 +219,7 @@
             let Some(node) = self.nodes.get_mut(&id) else { continue };
             let since = node.told.map_or(Span::MAX, |(at, _)| now.saturating_sub(at));
             let told = node.told.map(|(_, told)| told).filter(|_| since <= life).unwrap_or_default();
-            let slow = seen.slowness().unwrap_or(1.0) >= SLOW;
+            let slow = seen.is_slow();
             let bad = seen.fails() || slow;
             node.since = node.since.or(Some(now)).filter(|_| bad);
             if since < HOLD {
@@ -200,13 +227,16 @@
             }
             let stale = since >= life / 3;
             let worth = if seen.fails() {
-                !told.fails()
-                    || seen.failures() >= told.failures() + 0.9
-                    || (stale && node.at + life / 3 > now)
+                let more = seen.failures() >= told.failures() + 0.9;
+                let goes_on = more || (stale && node.at + life / 3 > now);
+                if told.fails() { goes_on } else { others(&id).accusers < ENOUGH }
             } else if seen.serves() {
-                let was = told.slowness().unwrap_or(1.0) >= SLOW;
-                let answers = chance(&id) < ANSWER / f64::from(rules.routers.max(1));
-                told.fails() || slow != was || (stale && (slow || (answers && contested(&id))))
+                let was = told.is_slow();
+                let others = others(&id);
+                node.contested = node.contested.or(Some(now)).filter(|_| others.contested);
+                let turn = node.contested.is_some_and(|since| now >= since + others.wait);
+                let answers = turn && others.supporters < ENOUGH && node.answered + FRESH >= now;
+                told.fails() || slow != was || (stale && (slow || answers))
             } else {
                 false
             };
@@ -238,7 +268,7 @@
     }
 
     fn tell(ledger: &mut Ledger, rules: &Rules, now: Time, contested: bool) -> Vec<(String, Seen)> {
-        let told = ledger.news(now, rules, |_| contested, |_| 0.0);
+        let told = ledger.news(now, rules, |_| Others { contested, ..Others::default() });
         told.into_iter().map(|(id, _, seen)| (id.to_string(), seen)).collect()
     }
 
--- a/peers/src/lib.rs
+++ b/peers/src/lib.rs
@@ -15,7 +15,7 @@
 mod wire;
 mod witness;
 
-pub use ledger::{Ledger, Seen};
+pub use ledger::{Ledger, Others, Seen};
 pub use life::Life;
 pub use peers::{Belief, Counts, Datagram, News, Peers};
 pub use records::{Record, Store};
--- a/peers/src/peers.rs
+++ b/peers/src/peers.rs
@@ -1,19 +1,19 @@
 //! All of it together: datagrams in and out, the time, and what follows for the nodes.
 
-use crate::ledger::Seen;
+use crate::ledger::Others;
 use crate::life::Life;
 use crate::members::{Change, Members};
 use crate::records::{Digest, Record, Store, about, of, part, subject};
 use crate::replay::Replays;
 use crate::rules::{Guard, REVIEW, Rules};
-use crate::verdict::{Level, Opinion, Verdict, judge};
+use crate::verdict::{EACH, Level, Opinion, Subject, Verdict, judge};
 use crate::wire::{Envelope, Fault, Keys, Part, kind};
 use crate::witness::Witness;
 use plovercove::{NodeId, Span, Time};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde::Serialize;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
 /// Routers that try a node that is out, on behalf of all: two could both be behind one bad link.
@@ -448,9 +448,12 @@
     /// Tells what is worth telling, and judges by all that is known.
     fn review(&mut self, now: Time, witness: &mut Witness) {
         self.store.fade(now);
-        self.say(now, witness);
-        let verdicts = self.judge(now, witness);
-        let known: Vec<NodeId> = self.verdicts.keys().chain(verdicts.keys()).cloned().collect();
+        let cases = self.cases(now, witness);
+        self.say(now, witness, &cases);
+        let mut zones: BTreeSet<&str> = self.members.active().values().map(|l| l.zone.as_str()).collect();
+        zones.insert(&self.me.zone);
+        let verdicts = judge(&self.rules, &cases, zones.len());
+        let known: BTreeSet<NodeId> = self.verdicts.keys().chain(verdicts.keys()).cloned().collect();
         // Who comes back in does so before another goes out: not for a moment are more out than a group can spare.
         let level = |node: &NodeId| verdicts.get(node).map_or(Level::In, |v| v.level);
         let (out, rest): (Vec<_>, Vec<_>) = known.into_iter().partition(|node| level(node) == Level::Out);
@@ -458,9 +461,8 @@
             self.settle(now, witness, &node, verdicts.get(&node).cloned().unwrap_or_default());
         }
         self.verdicts = verdicts;
-        let listed: Vec<NodeId> = witness.serving().map(|(s, _)| s.node.clone()).collect();
         self.flaps
-            .retain(|id, f| listed.contains(id) && now.saturating_sub(f.at) < (FLAPS.0 * FLAPS.1) as Span);
+            .retain(|id, f| witness.is_listed(id) && now.saturating_sub(f.at) < (FLAPS.0 * FLAPS.1) as Span);
         // Nodes that have proved themselves, and levels of nodes that nobody speaks of any more.
         let past = |node: &&NodeId| !self.verdicts.contains_key(*node);
         let past: Vec<NodeId> = witness.levels().keys().filter(past).cloned().collect();
@@ -469,22 +471,38 @@
         }
     }
 
-    fn say(&mut self, now: Time, witness: &mut Witness) {
-        let mut accused: BTreeMap<String, bool> = BTreeMap::new();
-        for (record, _) in self.store.iter(now) {
-            let Ok(seen) = postcard::from_bytes::<Seen>(&record.body) else { continue };
-            let name = record.subject.split('\n').next().unwrap_or_default();
-            let accuses =
-                record.origin != self.me.name && (seen.fails() || seen.slowness().unwrap_or(0.0) > 3.0);
-            *accused.entry(name.to_string()).or_default() |= accuses;
-        }
-        let (me, rules) = (self.me.name.clone(), &self.rules);
-        let told = witness.ledger.news(
-            now,
-            rules,
-            |node| accused.get(&**node) == Some(&true),
-            |node| crate::draw(&[node.as_bytes(), me.as_bytes()]) as f64 / u64::MAX as f64,
-        );
+    /// All nodes that serve, each with what is said of its present start: what was said of another start was said of
+    /// another machine.
+    fn cases(&self, now: Time, witness: &Witness) -> Vec<(Subject, Vec<Opinion>)> {
+        let mut opinions = self.store.opinions(now);
+        let case = |(told, started): (&Subject, Option<Time>)| {
+            let number =
+                if opinions.is_empty() { None } else { self.store.number(&subject(&told.node, started)) };
+            (told.clone(), number.and_then(|n| opinions.remove(&n)).unwrap_or_default())
+        };
+        witness.serving().map(case).collect()
+    }
+
+    /// Tells what this router saw, where that is news to the others.
+    fn say(&mut self, now: Time, witness: &mut Witness, cases: &[(Subject, Vec<Opinion>)]) {
+        let (me, fresh) = (self.store.number(&self.me.name), self.rules.fresh());
+        let (name, rules) = (self.me.name.as_bytes(), &self.rules);
+        let others = |node: &NodeId| {
+            let told = cases.iter().find(|(s, _)| s.node == *node).map_or(&[][..], |(_, told)| told);
+            let of_others = || told.iter().filter(|o| Some(o.observer) != me);
+            let accuses = |o: &&Opinion| o.seen.fails() || o.seen.is_slow();
+            let failures: f64 = of_others().filter(accuses).map(|o| o.seen.failures().min(EACH)).sum();
+            let (accusers, slow) =
+                (of_others().filter(accuses).count(), of_others().filter(|o| o.seen.is_slow()).count());
+            let luck = crate::draw(&[node.as_bytes(), name]) as f64 / u64::MAX as f64;
+            Others {
+                accusers,
+                supporters: of_others().filter(|o| !accuses(o) && o.age <= fresh).count(),
+                contested: accusers >= 2 && (failures + 1.5 >= f64::from(rules.failures) || slow >= 2),
+                wait: (luck * rules.settle() as f64 / 2.0) as Span,
+            }
+        };
+        let told = witness.ledger.news(now, &self.rules, others);
         for (node, started, seen) in told {
             self.records += 1;
             let record = Record::of_node(&self.me, self.records, &node, started, &seen);
@@ -493,32 +511,6 @@
         }
     }
 
-    fn judge(&self, now: Time, witness: &Witness) -> BTreeMap<NodeId, Verdict> {
-        let mut by_subject: BTreeMap<&str, Vec<Opinion>> = BTreeMap::new();
-        for (record, age) in self.store.iter(now) {
-            let Ok(seen) = postcard::from_bytes::<Seen>(&record.body) else { continue };
-            let opinion = Opinion { observer: &record.origin, zone: &record.zone, seen, age };
-            by_subject.entry(&record.subject).or_default().push(opinion);
-        }
-        if by_subject.is_empty() {
-            return BTreeMap::new();
-        }
-        let mut opinions: BTreeMap<NodeId, Vec<Opinion>> = BTreeMap::new();
-        let mut subjects = Vec::new();
-        for (told, started) in witness.serving() {
-            // Only what is said of this start of the node: what was said of another is said of another machine.
-            if let Some(said) = by_subject.remove(&*subject(&told.node, started)) {
-                opinions.insert(told.node.clone(), said);
-            }
-            subjects.push(told.clone());
-        }
-        let mut zones: Vec<&str> = self.members.active().values().map(|l| l.zone.as_str()).collect();
-        zones.push(&self.me.zone);
-        zones.sort_unstable();
-        zones.dedup();
-        judge(&self.rules, &subjects, &opinions, zones.len())
-    }
-
     /// Acts on a verdict.
     fn settle(&mut self, now: Time, witness: &mut Witness, node: &NodeId, verdict: Verdict) {
         let was = witness.level(node);
--- a/peers/src/records.rs
+++ b/peers/src/records.rs
@@ -2,15 +2,19 @@
 
 use crate::ledger::Seen;
 use crate::life::Life;
+use crate::verdict::Opinion;
 use crate::wire::{Envelope, Part, kind};
 use plovercove::{NodeId, Span, Time};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Records that are held, of all routers together and of one.
 const MOST: (usize, usize) = (4_096, 64);
 /// Origins whose present start is remembered.
 const ORIGINS: usize = 4_096;
+/// Names that are numbered before all are numbered anew.
+const NUMBERS: usize = 4 * MOST.0;
 /// Entries of one digest, so that it fits in a datagram.
 const DIGEST: usize = 44;
 /// Bytes that names in a record may have.
@@ -77,10 +81,20 @@
 
 struct Held {
     record: Record,
+    /// What it says of a node, read once; and its origin, zone and subject as numbers.
+    seen: Seen,
+    numbers: [u32; 3],
     born: Time,
     sends: u8,
 }
 
+impl Held {
+    /// Its place among what is to be sent: what was sent least first, then the youngest.
+    fn heat(&self, name: u64) -> (Reverse<u8>, Reverse<Time>, u64) {
+        (Reverse(self.sends), Reverse(self.born), name)
+    }
+}
+
 /// What one router holds, in a part of the order of names, for another to compare.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Digest {
@@ -89,9 +103,29 @@
     held: Vec<(u64, u64)>,
 }
 
+/// Numbers for names: judging compares thousands of them ten times a second.
+#[derive(Default)]
+struct Numbers(HashMap<String, u32>);
+
+impl Numbers {
+    fn of(&mut self, name: &str) -> u32 {
+        if let Some(known) = self.0.get(name) {
+            return *known;
+        }
+        let number = self.0.len() as u32;
+        self.0.insert(name.into(), number);
+        number
+    }
+}
+
 /// The records that a router holds.
 pub struct Store {
+    numbers: Numbers,
     held: BTreeMap<u64, Held>,
+    /// Those that are to be sent, in that order.
+    hot: BTreeSet<(Reverse<u8>, Reverse<Time>, u64)>,
+    /// The names of each origin's records.
+    of: BTreeMap<String, BTreeSet<u64>>,
     boots: BTreeMap<String, u64>,
     life: Span,
     sends: u8,
@@ -106,7 +140,18 @@
     ///
     /// `ages` and `ends`: whether records end by age and with their origin's life; tests take that away.
     pub fn new(life: Span, sends: u8, ages: bool, ends: bool) -> Self {
-        Store { held: BTreeMap::new(), boots: BTreeMap::new(), life, sends, next: 0, ages, ends }
+        Store {
+            numbers: Numbers::default(),
+            held: BTreeMap::new(),
+            hot: BTreeSet::new(),
+            of: BTreeMap::new(),
+            boots: BTreeMap::new(),
+            life,
+            sends,
+            next: 0,
+            ages,
+            ends,
+        }
     }
 
     /// How many it holds.
@@ -119,17 +164,34 @@
         self.held.is_empty()
     }
 
+    /// The one place where a record is let go.
+    fn remove(&mut self, name: u64) {
+        let Some(held) = self.held.remove(&name) else { return };
+        self.hot.remove(&held.heat(name));
+        if let Some(names) = self.of.get_mut(&held.record.origin) {
+            names.remove(&name);
+            if names.is_empty() {
+                self.of.remove(&held.record.origin);
+            }
+        }
+    }
+
     /// This router started then: what earlier starts said is void.
     pub fn started(&mut self, origin: &str, boot: u64) {
         if !self.ends || self.boots.get(origin).is_some_and(|known| *known >= boot) {
             return;
         }
         if self.boots.len() >= ORIGINS {
-            let held = &self.held;
-            self.boots.retain(|name, _| held.values().any(|h| h.record.origin == *name));
+            let of = &self.of;
+            self.boots.retain(|name, _| of.contains_key(name));
         }
         self.boots.insert(origin.into(), boot);
-        self.held.retain(|_, h| h.record.origin != origin || h.record.boot >= boot);
+        let names = self.of.get(origin).cloned().unwrap_or_default();
+        for name in names {
+            if self.held.get(&name).is_some_and(|h| h.record.boot < boot) {
+                self.remove(name);
+            }
+        }
     }
 
     /// Takes a record that was so much longer under way than usual; true where it is news.
@@ -146,48 +208,75 @@
         if self.held.get(&name).is_some_and(|held| held.record.version() >= record.version()) {
             return false;
         }
+        let Ok(seen) = postcard::from_bytes::<Seen>(&record.body) else { return false };
         self.started(&record.origin, record.boot);
-        let own: Vec<_> =
-            self.held.iter().filter(|(n, h)| h.record.origin == record.origin && **n != name).collect();
-        let crowded = own.len() >= MOST.1;
-        let oldest = |held: &mut dyn Iterator<Item = (&u64, &Held)>| {
-            held.min_by_key(|(n, h)| (h.born, **n)).map(|(n, _)| *n)
+        self.remove(name);
+        let of = self.of.get(&record.origin);
+        let oldest = |all: &mut dyn Iterator<Item = &u64>| {
+            all.filter_map(|n| Some((self.held.get(n)?.born, *n))).min().map(|(_, n)| n)
         };
-        let leaves = if crowded {
-            oldest(&mut own.into_iter())
-        } else if self.held.len() >= MOST.0 {
-            oldest(&mut self.held.iter())
-        } else {
-            None
+        let leaves = match of {
+            Some(own) if own.len() >= MOST.1 => oldest(&mut own.iter()),
+            _ if self.held.len() >= MOST.0 => oldest(&mut self.held.keys()),
+            _ => None,
         };
-        leaves.map(|n| self.held.remove(&n));
-        self.held.insert(name, Held { record, born: now.saturating_sub(age), sends: self.sends });
+        if let Some(leaves) = leaves {
+            self.remove(leaves);
+        }
+        self.of.entry(record.origin.clone()).or_default().insert(name);
+        if self.numbers.0.len() > NUMBERS {
+            // Names that nobody uses any more: all are numbered anew.
+            self.numbers.0.clear();
+            for held in self.held.values_mut() {
+                let r = &held.record;
+                held.numbers = [&r.origin, &r.zone, &r.subject].map(|name| self.numbers.of(name));
+            }
+        }
+        let numbers = [&record.origin, &record.zone, &record.subject].map(|name| self.numbers.of(name));
+        let held = Held { record, seen, numbers, born: now.saturating_sub(age), sends: self.sends };
+        self.hot.insert(held.heat(name));
+        self.held.insert(name, held);
         true
     }
 
     /// Lets go of what is too old.
     pub fn fade(&mut self, now: Time) {
-        if self.ages {
-            self.held.retain(|_, h| now.saturating_sub(h.born) <= self.life);
+        let over = |h: &Held| now.saturating_sub(h.born) > self.life;
+        let over: Vec<u64> =
+            self.held.iter().filter(|(_, h)| self.ages && over(h)).map(|(name, _)| *name).collect();
+        over.into_iter().for_each(|name| self.remove(name));
+    }
+
+    /// What is said of each subject, by its number.
+    pub(crate) fn opinions(&self, now: Time) -> HashMap<u32, Vec<Opinion>> {
+        let mut all: HashMap<u32, Vec<Opinion>> = HashMap::new();
+        for Held { seen, numbers: [observer, zone, subject], born, .. } in self.held.values() {
+            let age = now.saturating_sub(*born);
+            let opinion = Opinion { observer: *observer, zone: *zone, seen: *seen, age };
+            all.entry(*subject).or_default().push(opinion);
         }
+        all
     }
 
-    /// The records, with their ages.
-    pub fn iter(&self, now: Time) -> impl Iterator<Item = (&Record, Span)> {
-        self.held.values().map(move |h| (&h.record, now.saturating_sub(h.born)))
+    /// The number of a name, if any record has it.
+    pub(crate) fn number(&self, name: &str) -> Option<u32> {
+        self.numbers.0.get(name).copied()
     }
 
     /// The records that were sent least so far, as many as there is room for; they count as sent once more.
     pub(crate) fn hot(&mut self, now: Time, room: usize) -> Option<Part> {
-        let mut hot: Vec<(u8, Time, u64)> =
-            self.held.iter().filter(|(_, h)| h.sends > 0).map(|(n, h)| (h.sends, h.born, *n)).collect();
-        if hot.is_empty() {
+        if self.hot.is_empty() {
             return None;
         }
-        hot.sort_unstable_by(|a, b| b.cmp(a));
-        let (part, sent) = self.pack(now, hot.into_iter().map(|(_, _, name)| name), room);
+        let (part, sent) = self.pack(now, self.hot.iter().map(|(_, _, name)| *name), room);
         for name in sent {
-            self.held.entry(name).and_modify(|h| h.sends -= 1);
+            if let Some(held) = self.held.get_mut(&name) {
+                self.hot.remove(&held.heat(name));
+                held.sends -= 1;
+                if held.sends > 0 {
+                    self.hot.insert(held.heat(name));
+                }
+            }
         }
         part
     }
@@ -196,14 +285,18 @@
     fn pack(&self, now: Time, names: impl Iterator<Item = u64>, room: usize) -> (Option<Part>, Vec<u64>) {
         let (mut body, mut sent) = (Vec::new(), Vec::new());
         for name in names {
-            let Some(held) = self.held.get(&name) else { continue };
-            let age = now.saturating_sub(held.born);
+            let Some(Held { record: r, born, .. }) = self.held.get(&name) else { continue };
+            let age = now.saturating_sub(*born);
             let age_ms = u32::try_from(age.div_ceil(1_000)).unwrap_or(u32::MAX);
-            let Ok(one) = postcard::to_allocvec(&Record { age_ms, ..held.record.clone() }) else { continue };
-            if body.len() + one.len() > room {
+            // A record with its age of now; the fields as in `Record`.
+            let aged = (&r.origin, r.boot, &r.zone, r.seq, age_ms, r.kind, &r.subject, &r.body);
+            let before = body.len();
+            let Ok(longer) = postcard::to_extend(&aged, std::mem::take(&mut body)) else { break };
+            body = longer;
+            if body.len() > room {
+                body.truncate(before);
                 break;
             }
-            body.extend_from_slice(&one);
             sent.push(name);
         }
         ((!sent.is_empty()).then_some(Part { kind: kind::RECORDS, body }), sent)
@@ -283,10 +376,14 @@
             age_ms,
             kind: 1,
             subject: format!("s{seq}"),
-            body: vec![1],
+            body: body(1),
         }
     }
 
+    fn body(answers: u16) -> Vec<u8> {
+        postcard::to_allocvec(&Seen { answers, ..Seen::default() }).expect("small")
+    }
+
     fn store() -> Store {
         Store::new(15 * S, 4, true, true)
     }
@@ -322,7 +419,7 @@
     fn the_same_or_an_older_record_is_no_news() {
         let mut store = store();
         let of =
-            |seq: u64, body: u8| Record { subject: "s".into(), body: vec![body], ..record("n1", 1, seq, 0) };
+            |seq: u64, said: u16| Record { subject: "s".into(), body: body(said), ..record("n1", 1, seq, 0) };
         assert!(store.put(S, of(2, 7), 0));
         assert!(!store.put(S, of(2, 8), 0) && !store.put(S, of(1, 8), 0) && store.put(S, of(3, 9), 0));
         assert_eq!(store.len(), 1);
--- a/peers/src/rules.rs
+++ b/peers/src/rules.rs
@@ -128,6 +128,11 @@
         (self.evidence_s * 1e6) as Span
     }
 
+    /// That a node serves is believed for so long: those who say it say it again while it does.
+    pub(crate) fn fresh(&self) -> Span {
+        self.evidence() * 2 / 5
+    }
+
     /// A record is sent so often, a little more than its way to all of them takes.
     pub(crate) fn sends(&self) -> u8 {
         let members = f64::from(self.routers.max(2));
--- a/peers/src/verdict.rs
+++ b/peers/src/verdict.rs
@@ -11,7 +11,7 @@
 /// Of those who saw a node of late, so many must find it bad: for less weight, and for none.
 const SHARE: (f64, f64) = (0.4, 0.6);
 /// One observer counts for no more failures than this, however many it reports: two are needed at the least.
-const EACH: f64 = 2.0;
+pub(crate) const EACH: f64 = 2.0;
 /// One who sees so many nodes fail, and more than a third of those it sees, has a broken link of its own.
 const BLAME: u16 = 3;
 /// At most one of so many members of a group is out.
@@ -51,13 +51,13 @@
     pub primary: bool,
 }
 
-/// What one observer says of one node.
-#[derive(Clone, Debug)]
-pub struct Opinion<'a> {
+/// What one observer says of one node. Observers and zones go by numbers; only whether two are the same matters.
+#[derive(Clone, Copy, Debug)]
+pub struct Opinion {
     /// Who says it.
-    pub observer: &'a str,
+    pub observer: u32,
     /// The zone it stands in.
-    pub zone: &'a str,
+    pub zone: u32,
     /// What it saw.
     pub seen: Seen,
     /// How long ago it said so.
@@ -79,10 +79,13 @@
 
 /// One node as all see it.
 fn weigh(
-    rules: &Rules, subject: &Subject, opinions: &[Opinion], zones: usize, blind: &BTreeSet<&str>,
+    rules: &Rules, subject: &Subject, opinions: &[Opinion], zones: usize, blind: &BTreeSet<u32>,
 ) -> (Verdict, Span) {
     let settle = rules.settle();
-    let told: Vec<&Opinion> = opinions.iter().filter(|o| !blind.contains(o.observer)).collect();
+    // Danger: a node that dies would be held up by what it did before: who is answered by it says so again and again.
+    let counts = |o: &&Opinion| o.seen.fails() || o.seen.is_slow() || o.age <= rules.fresh();
+    let sees = |o: &&Opinion| !blind.contains(&o.observer);
+    let told: Vec<&Opinion> = opinions.iter().filter(sees).filter(counts).collect();
     // What is bad for longer stays the worse: whom a group cannot spare must not change from one review to the next.
     let lasted = |bad: &[&Opinion]| bad.iter().map(|o| o.age + o.seen.lasted()).max().unwrap_or(0);
     let verdict = |bad: &[&Opinion], level: Level, why: &'static str| Verdict {
@@ -92,18 +95,18 @@
         why,
     };
     let spread = |bad: &[&Opinion]| {
-        let seen: BTreeSet<&str> = bad.iter().map(|o| o.zone).collect();
+        let seen: BTreeSet<u32> = bad.iter().map(|o| o.zone).collect();
         !rules.on(Guard::OneZone) || zones < 2 || seen.len() >= 2
     };
     let enough = |bad: &[&Opinion]| !rules.on(Guard::Observers) || bad.len() >= 2;
     let share = |bad: &[&Opinion]| bad.len() as f64 / told.len().max(1) as f64;
     let bad: Vec<&Opinion> = told.iter().copied().filter(|o| o.seen.fails()).collect();
     let each = if rules.on(Guard::Observers) { EACH } else { f64::INFINITY };
-    let failures: f64 = bad.iter().map(|o| o.seen.failures().min(each)).sum();
     // An accusation counts once those who saw the node serve had time to say so.
-    let settled = bad.iter().any(|o| o.age + o.seen.lasted() >= settle);
+    let settled = |o: &&&Opinion| o.age + o.seen.lasted() >= settle;
+    let failures: f64 = bad.iter().filter(settled).map(|o| o.seen.failures().min(each)).sum();
     let need = f64::from(rules.failures) - 0.5;
-    if enough(&bad) && settled && failures >= need && share(&bad) >= SHARE.0 {
+    if enough(&bad) && failures >= need && share(&bad) >= SHARE.0 {
         if !spread(&bad) {
             return (verdict(&bad, Level::In, "one zone"), 0);
         }
@@ -124,24 +127,22 @@
     (Verdict::default(), 0)
 }
 
-/// The verdicts on all these nodes, from the fresh opinions on each. `zones` is in how many zones routers stand.
-pub fn judge(
-    rules: &Rules, subjects: &[Subject], opinions: &BTreeMap<NodeId, Vec<Opinion>>, zones: usize,
-) -> BTreeMap<NodeId, Verdict> {
+/// The verdicts on these nodes, all that serve, each with the fresh opinions on it. `zones` is in how many zones routers
+/// stand.
+pub fn judge(rules: &Rules, cases: &[(Subject, Vec<Opinion>)], zones: usize) -> BTreeMap<NodeId, Verdict> {
     // Who sees most nodes fail is told by the last that it said of any: what it said first, it said before it could know.
-    let mut last: BTreeMap<&str, &Opinion> = BTreeMap::new();
-    for opinion in opinions.values().flatten().filter(|_| rules.on(Guard::Blame)) {
+    let mut last: BTreeMap<u32, &Opinion> = BTreeMap::new();
+    for opinion in cases.iter().flat_map(|(_, told)| told).filter(|_| rules.on(Guard::Blame)) {
         let known = last.entry(opinion.observer).or_insert(opinion);
         if opinion.age < known.age {
             *known = opinion;
         }
     }
     let blames = |o: &Opinion| o.seen.failing >= BLAME && 3 * o.seen.failing > o.seen.nodes;
-    let blind: BTreeSet<&str> = last.values().filter(|o| blames(o)).map(|o| o.observer).collect();
+    let blind: BTreeSet<u32> = last.values().filter(|o| blames(o)).map(|o| o.observer).collect();
     let mut verdicts = BTreeMap::new();
     let mut out: BTreeMap<GroupId, Vec<(Span, NodeId)>> = BTreeMap::new();
-    for subject in subjects {
-        let Some(told) = opinions.get(&subject.node) else { continue };
+    for (subject, told) in cases.iter().filter(|(_, told)| !told.is_empty()) {
         let (verdict, weight) = weigh(rules, subject, told, zones, &blind);
         if verdict.level == Level::Out {
             out.entry(subject.group).or_default().push((weight, subject.node.clone()));
@@ -151,7 +152,7 @@
         }
     }
     for (group, mut nodes) in out {
-        let members = subjects.iter().filter(|s| s.group == group).count();
+        let members = cases.iter().filter(|(s, _)| s.group == group).count();
         let allowed = if rules.on(Guard::Third) { members / THIRD } else { members };
         // The worst first; the name decides between equals, so that all decide alike.
         nodes.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
@@ -172,24 +173,36 @@
         Rules { routers: 9, ..Rules::default() }
     }
 
+    fn judged(
+        nodes: &[&str], opinions: &BTreeMap<NodeId, Vec<Opinion>>, zones: usize,
+    ) -> BTreeMap<NodeId, Verdict> {
+        let told = |s: Subject| {
+            let said = opinions.get(&s.node).cloned().unwrap_or_default();
+            (s, said)
+        };
+        judge(&rules(), &subjects(nodes).into_iter().map(told).collect::<Vec<_>>(), zones)
+    }
+
     fn subjects(nodes: &[&str]) -> Vec<Subject> {
         let subject = |(n, name): (usize, &&str)| Subject { node: (*name).into(), group: 1, primary: n == 0 };
         nodes.iter().enumerate().map(subject).collect()
     }
 
-    fn says<'a>(observer: &'a str, zone: &'a str, answers: u16, failures: u16) -> Opinion<'a> {
+    fn says(observer: &str, zone: &str, answers: u16, failures: u16) -> Opinion {
+        let number = |name: &str| name.bytes().fold(0, |sum, b| sum * 256 + u32::from(b));
+        let (observer, zone) = (number(observer), number(zone));
         let seen =
             Seen { answers: answers * 10, silent: failures * 10, nodes: 9, failing: 1, ..Seen::default() };
         Opinion { observer, zone, seen, age: 2 * S }
     }
 
-    fn of(node: &str, opinions: Vec<Opinion<'static>>) -> BTreeMap<NodeId, Vec<Opinion<'static>>> {
+    fn of(node: &str, opinions: Vec<Opinion>) -> BTreeMap<NodeId, Vec<Opinion>> {
         BTreeMap::from([(node.into(), opinions)])
     }
 
     /// The verdict on the replica x of a group of three, routers in three zones.
-    fn on_x(opinions: Vec<Opinion<'static>>) -> Level {
-        let verdicts = judge(&rules(), &subjects(&["p", "x", "y"]), &of("x", opinions), 3);
+    fn on_x(opinions: Vec<Opinion>) -> Level {
+        let verdicts = judged(&["p", "x", "y"], &of("x", opinions), 3);
         verdicts.get("x").map_or(Level::In, |v| v.level)
     }
 
@@ -217,14 +230,14 @@
     #[test]
     fn who_sees_most_nodes_fail_blames_itself() {
         let mut opinions = of("x", vec![says("n1", "a", 0, 9), says("n2", "b", 0, 9), says("n3", "c", 0, 2)]);
-        assert_eq!(judge(&rules(), &subjects(&["p", "x", "y"]), &opinions, 3)["x"].level, Level::Out);
+        assert_eq!(judged(&["p", "x", "y"], &opinions, 3)["x"].level, Level::Out);
         // What they say of another node, a little later, tells that they see most of them fail.
-        let blind = |n: &'static str, z: &'static str| {
+        let blind = |n: &str, z: &str| {
             let told = says(n, z, 0, 9);
             Opinion { seen: Seen { failing: 5, ..told.seen }, age: S, ..told }
         };
         opinions.insert("y".into(), vec![blind("n1", "a"), blind("n2", "b")]);
-        let verdicts = judge(&rules(), &subjects(&["p", "x", "y"]), &opinions, 3);
+        let verdicts = judged(&["p", "x", "y"], &opinions, 3);
         assert!(verdicts.values().all(|v| v.level == Level::In), "{verdicts:?}");
     }
 
@@ -245,24 +258,24 @@
     fn a_third_of_a_group_at_the_most_is_out_and_the_one_that_is_bad_for_longest() {
         let mut opinions = BTreeMap::new();
         for (node, lasted) in [("p", 10), ("x", 90), ("y", 20)] {
-            let long = |o: Opinion<'static>| Opinion { seen: Seen { lasted, ..o.seen }, ..o };
+            let long = |o: Opinion| Opinion { seen: Seen { lasted, ..o.seen }, ..o };
             opinions.insert(node.into(), vec![long(says("n1", "a", 0, 2)), says("n2", "b", 0, 2)]);
         }
-        let verdicts = judge(&rules(), &subjects(&["p", "x", "y"]), &opinions, 3);
+        let verdicts = judged(&["p", "x", "y"], &opinions, 3);
         let levels: Vec<Level> = verdicts.values().map(|v| v.level).collect();
         assert_eq!(levels, [Level::Doubted, Level::Out, Level::Doubted]);
-        let pair = judge(&rules(), &subjects(&["p", "x"]), &opinions, 3);
+        let pair = judged(&["p", "x"], &opinions, 3);
         assert_eq!(pair["x"].level, Level::Doubted, "of two none can be spared");
     }
 
     #[test]
     fn slowness_takes_a_replica_out_and_never_a_primary() {
-        let slow = |n: &'static str, z: &'static str| {
+        let slow = |n: &str, z: &str| {
             let told = says(n, z, 9, 0);
             Opinion { seen: Seen { slow: 100, ..told.seen }, ..told }
         };
         assert_eq!(on_x(vec![slow("n1", "a"), slow("n2", "b")]), Level::Out);
         let told = of("p", vec![slow("n1", "a"), slow("n2", "b")]);
-        assert_eq!(judge(&rules(), &subjects(&["p", "x", "y"]), &told, 3)["p"].level, Level::Doubted);
+        assert_eq!(judged(&["p", "x", "y"], &told, 3)["p"].level, Level::Doubted);
     }
 }
--- a/peers/src/witness.rs
+++ b/peers/src/witness.rs
@@ -68,6 +68,11 @@
         self.members.values().filter(|(_, _, serving)| *serving).map(|(s, started, _)| (s, *started))
     }
 
+    /// Whether the list names a node.
+    pub(crate) fn is_listed(&self, node: &NodeId) -> bool {
+        self.members.contains_key(node)
+    }
+
     /// The level of a node.
     pub fn level(&self, node: &NodeId) -> Level {
         self.levels.get(node).copied().unwrap_or_default()
