--- a/peers/tests/decoder.rs
+++ b/peers/tests/decoder.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{BEGIN, Net, S, address, keys};
-use plovercove_peers::{Envelope, Life, Part, Rules};
+use plovercove_peers::{Envelope, Life, Part, Record, Rules, Seen};
 use proptest::prelude::*;
 use rand::RngExt;
 
@@ -65,3 +65,21 @@
     );
     assert!(net.seen().iter().all(|n| *n == 6), "{:?}", net.seen());
 }
+
+#[test]
+fn what_a_newer_version_adds_is_skipped_and_the_rest_is_taken() {
+    // Danger: in a rolling upgrade the first router of the new version would make all the old ones drop what it says.
+    let ours = keys(common::KEY);
+    let mut net = Net::new(1, 1, 1, Rules::default());
+    let seen = Seen { silent: 30, nodes: 9, failing: 1, ..Seen::default() };
+    let record = Record::of_node(&life(20, 1), 1, &"s1".into(), None, &seen).expect("small");
+    let newer = Record { kind: 99, subject: "something else".into(), body: vec![7; 40], ..record.clone() };
+    let parts = [newer, record].iter().filter_map(Record::part).collect::<Vec<_>>();
+    let body = parts.iter().flat_map(|p| p.body.clone()).collect();
+    let parts = vec![Part { kind: 200, body: vec![1; 30] }, Part { kind: parts[0].kind, body }];
+    let sealed = ours.seal(&Envelope { from: life(20, 1), seq: 1, stamp: 1, parts }).expect("small");
+    net.inject(0, &sealed);
+    let router = &net.routers[0];
+    assert_eq!((router.peers.counts().unknown, router.peers.belief(&router.witness).records), (1, 1));
+    assert_eq!(router.peers.counts().came.0, 1, "it is no fault");
+}
--- /dev/null
+++ b/router/tests/peers.rs
@@ -0,0 +1,198 @@
+//! Talk between routers, from the outside: off it is not there; on, operators are told what is wrong, keys are changed in
+//! service, and a router says what it believes when asked.
+
+use plovercove_standin::process::{Blow, Folder, Process};
+use plovercove_standin::rough::{Agent, Says};
+use serde_json::json;
+use std::path::Path;
+use std::process::Command;
+use std::time::Duration;
+
+/// Ends a test that would hang.
+const HANGS: Duration = Duration::from_secs(20);
+
+fn program() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_plovercove"))
+}
+
+fn config(agent: &Agent, name: &str) -> String {
+    json!({
+        "name": name, "listen": "127.0.0.1:0", "discovery": agent.address().to_string(), "seed": "1",
+        "settings": {"Balancers": 2, "SlotNo": 1, "Tick": 5000, "Discovery": "automatic", "Zone": "z",
+            "FamilyInfo": {"ClassRead": ["loose"], "MaxAge": [0], "ServerChecks": "silent", "ShowsRole": "delayed",
+                "SessionMarks": "client"},
+            "Limits": {"MaxAttempts": 3},
+            "Profiles": [{"Name": "look", "Aim": 400_000, "Deadline": 1_000_000, "Gain": 1.0, "Effect": "idempotent"}],
+            "Report": {"How": "silent"},
+            "Rules": {"Cold": 1, "ColdShare": 0.2, "DrainGrace": 1_000_000, "OverloadFactor": 4, "OverloadFor": 2_000_000}}})
+    .to_string()
+}
+
+fn agent() -> Agent {
+    let list = json!({"index": 1, "snapshot": true, "endpoints": []}).to_string();
+    Agent::start(vec![Says::Body(list)]).expect("an agent")
+}
+
+fn start(folder: &Folder, agent: &Agent, name: &str, operators: Option<&str>) -> Process {
+    let file = folder.write(&format!("{name}.json"), &config(agent, name)).expect("a file");
+    let rules = operators.map(|text| folder.write(&format!("{name}.star"), text).expect("a file"));
+    let process = Process::start(program(), &file, |command| match &rules {
+        Some(path) => command.arg("--operators").arg(path),
+        None => command,
+    });
+    process.expect("the router starts")
+}
+
+/// What the descriptors of a process are: sockets by their number, all else by name.
+fn descriptors(id: u32) -> Vec<String> {
+    let all = std::fs::read_dir(format!("/proc/{id}/fd")).expect("it runs");
+    let links = all.flatten().filter_map(|fd| std::fs::read_link(fd.path()).ok());
+    links.map(|to| to.display().to_string()).collect()
+}
+
+/// Datagram sockets of a process.
+fn datagram_sockets(id: u32) -> usize {
+    let table = std::fs::read_to_string(format!("/proc/{id}/net/udp")).expect("a table");
+    let numbers: Vec<String> = table
+        .lines()
+        .filter_map(|line| line.split_whitespace().nth(9))
+        .map(|inode| format!("socket:[{inode}]"))
+        .collect();
+    descriptors(id).iter().filter(|fd| numbers.contains(fd)).count()
+}
+
+/// Whether a process catches SIGUSR1.
+fn catches_usr1(id: u32) -> bool {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).expect("it runs");
+    let line = status.lines().find_map(|line| line.strip_prefix("SigCgt:")).expect("it is told");
+    u64::from_str_radix(line.trim(), 16).expect("a mask") & (1 << 9) != 0
+}
+
+fn block(folder: &Folder, key: &str, more: &str) -> String {
+    folder.write("key", key).expect("a file");
+    format!(
+        "peers = {{\"listen\": \"127.0.0.1:0\", \"key_file\": \"key\", \"rules\": {{\"installation\": \"here\"{more}}}}}\n"
+    )
+}
+
+const KEY: &str = "a key of enough bytes\n";
+
+#[test]
+fn without_the_block_no_socket_and_no_signal_is_there() {
+    // Danger: on the platform routers share nothing, and a descriptor or a signal more would be paid for there.
+    let (folder, agent) = (Folder::new("peers-off").expect("a folder"), agent());
+    let off = start(&folder, &agent, "off", None);
+    let empty = start(&folder, &agent, "empty", Some("tiers = None\n"));
+    let on = start(&folder, &agent, "on", Some(&block(&folder, KEY, "")));
+    for process in [&off, &empty, &on] {
+        assert!(process.says("serving", HANGS).is_some());
+    }
+    assert!(agent.called(3, HANGS), "all have called their agent");
+    let count = |p: &Process| descriptors(p.id()).len();
+    assert_eq!(
+        (datagram_sockets(off.id()), datagram_sockets(empty.id()), datagram_sockets(on.id())),
+        (0, 0, 1)
+    );
+    assert_eq!([&off, &empty, &on].map(|p| catches_usr1(p.id())), [false, false, true]);
+    // The socket, and the signal's end of the pipe that wakes the loop.
+    assert_eq!((count(&empty), count(&on)), (count(&off), count(&off) + 2));
+}
+
+#[test]
+fn what_cannot_be_meant_is_refused_with_its_key() {
+    let folder = Folder::new("peers-check").expect("a folder");
+    let good = block(&folder, KEY, "");
+    let check = |text: &str| {
+        let path = folder.write("check.star", text).expect("a file");
+        let output = Command::new(program()).arg("check").arg(path).output().expect("it starts");
+        let said =
+            String::from_utf8_lossy(&output.stdout).into_owned() + &String::from_utf8_lossy(&output.stderr);
+        (output.status.success(), said)
+    };
+    let (passes, said) = check(&good);
+    assert!(passes && said.contains("routers of here talk at 127.0.0.1:0"), "{said}");
+    for (from, to, want) in [
+        ("\"here\"", "\"\"", "peers.rules.installation"),
+        ("\"here\"", "\"here\", \"probe_ms\": 1", "peers.rules.probe_ms: expected 50 to 60000, got 1"),
+        ("\"here\"", "\"here\", \"answer_ms\": 900", "peers.rules.answer_ms"),
+        ("\"here\"", "\"here\", \"fanout\": 0", "peers.rules.fanout"),
+        ("\"here\"", "\"here\", \"evidence_s\": 0.1", "evidence_s: expected 1 to 600"),
+        ("\"here\"", "\"here\", \"datagrams_per_s\": 2", "peers.rules.datagrams_per_s"),
+        ("\"here\"", "\"here\", \"gossip\": 2", "unknown field"),
+        ("127.0.0.1:0", "0.0.0.0:0", "peers.advertise: expected the address"),
+        ("\"key\"", "\"nokey\"", "peers.key_file"),
+    ] {
+        let (passes, said) = check(&good.replace(from, to));
+        assert!(!passes && said.contains(want), "{said} instead of {want}");
+    }
+    let short = block(&folder, "short", "");
+    let (passes, said) = check(&short);
+    assert!(!passes && said.contains("peers.key_file: expected a key of 16 bytes"), "{said}");
+    use std::os::unix::fs::PermissionsExt;
+    folder.write("key", KEY).expect("a file");
+    let key = folder.path().join("key");
+    std::fs::set_permissions(&key, std::fs::Permissions::from_mode(0o644)).expect("its own file");
+    let (passes, said) = check(&good);
+    assert!(!passes && said.contains("its mode must be 600"), "{said}");
+}
+
+#[test]
+fn a_key_is_changed_in_service_and_two_routers_never_lose_each_other() {
+    // Danger: where all must change at once, all are strangers to each other for as long as that takes.
+    let (folder, agent) = (Folder::new("peers-keys").expect("a folder"), agent());
+    agent.then(Says::Nothing);
+    let fast = ", \"probe_ms\": 200, \"answer_ms\": 60, \"suspect_ms\": 600, \"gossip_ms\": 60, \"repair_ms\": 200, \"datagrams_per_s\": 200";
+    let one = start(&folder, &agent, "one", Some(&block(&folder, KEY, fast)));
+    let line = one.says("talks with other routers", HANGS).expect("it talks");
+    let address = line.split("advertise=").nth(1).and_then(|rest| rest.split(' ').next()).expect("told");
+    let with_seed = format!("{fast}, \"seeds\": [\"{address}\"]");
+    let mut two = start(&folder, &agent, "two", Some(&block(&folder, KEY, &with_seed)));
+    let mut one = one;
+    for process in [&one, &two] {
+        assert!(process.says("seen=2", HANGS).is_some(), "{:?}", process.lines());
+    }
+    // Both take the new one as well; then each in turn uses it.
+    folder.write("new", "another key, long enough too\n").expect("a file");
+    let steps = [("key", "new"), ("new", "key")];
+    for (ours, also) in steps {
+        for (name, process) in [("one", &mut one), ("two", &mut two)] {
+            let more = if name == "one" { fast } else { &with_seed };
+            let text = format!(
+                "peers = {{\"listen\": \"127.0.0.1:0\", \"key_file\": \"{ours}\", \"also_key_file\": \"{also}\", \"rules\": {{\"installation\": \"here\"{more}}}}}\n"
+            );
+            folder.write(&format!("{name}.star"), &text).expect("a file");
+            let before = process.lines().len();
+            process.strike(Blow::Reload);
+            let taken = || process.since(before).iter().any(|l| l.contains("operators' file was taken over"));
+            let until = std::time::Instant::now() + HANGS;
+            while !taken() {
+                assert!(std::time::Instant::now() < until, "{:?}", process.since(before));
+                std::thread::sleep(Duration::from_millis(5));
+            }
+        }
+        // Over some probes neither misses the other.
+        let sent = |p: &Process| p.lines().iter().filter(|l| l.contains("seen=1")).count();
+        let before = (sent(&one), sent(&two));
+        for process in [&mut one, &mut two] {
+            let lines = process.lines().len();
+            process.strike(Blow::Tell);
+            let until = std::time::Instant::now() + HANGS;
+            let told =
+                |p: &Process| p.since(lines).iter().any(|l| l.contains("belief") && l.contains("seen=2"));
+            while !told(process) {
+                assert!(std::time::Instant::now() < until, "{:?}", process.lines());
+                std::thread::sleep(Duration::from_millis(5));
+            }
+        }
+        assert_eq!(before, (sent(&one), sent(&two)), "they lost each other");
+        assert!(
+            !one.lines().iter().chain(&two.lines()).any(|l| l.contains("why=\"tag\"")),
+            "{:?}",
+            one.lines()
+        );
+    }
+    two.strike(Blow::Term);
+    assert!(two.ended(HANGS).is_some_and(|status| status.success()));
+    // Who leaves is missed at once.
+    assert!(one.says("a router is gone", HANGS).is_some());
+}
--- a/standin/src/process.rs
+++ b/standin/src/process.rs
@@ -29,6 +29,8 @@
     Continue,
     /// SIGHUP: it reads its files again.
     Reload,
+    /// SIGUSR1: it tells its log what it believes, where it talks with other routers.
+    Tell,
 }
 
 #[derive(Default)]
@@ -196,6 +198,7 @@
             Blow::Stop => Signal::STOP,
             Blow::Continue => Signal::CONT,
             Blow::Reload => Signal::HUP,
+            Blow::Tell => Signal::USR1,
         };
         if let Some(id) = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw) {
             let _ = kill_process(id, signal);
