Members are repaired as records are; a busy node's supporters outvote its accusers

66 processes on the rig, 22 of them killed and back at once: two routers saw all the others only after 30 and 38 s, since what SWIM piggybacks is sent a bounded number of times. Links between routers draw from dice of their own, so that runs with and without talk are pairs. The guard on stops is tested by a pending suspicion and full buffers; before it, the test caught nothing.

--- a/experiments/faults-guards.star
+++ b/experiments/faults-guards.star
@@ -11,6 +11,7 @@
     "repair_ms": 300,
     "late_ms": 500,
     "evidence_s": 4.0,
+    "failures": 4,
     "datagrams_per_s": 200,
     "bytes_per_s": 80000,
 }
--- a/fleet/src/world.rs
+++ b/fleet/src/world.rs
@@ -249,6 +249,8 @@
     /// When links between zones were last cut.
     cut_at: Option<Time>,
     talked: Talked,
+    /// Links between routers draw from dice of their own: the rest of a run is the same with talk and without.
+    talk_dice: Dice,
     spill_limit: f64,
     seed: u64,
     // what is counted
@@ -411,6 +413,7 @@
             bad: vec![None; all_nodes],
             cut_at: None,
             talked: Talked::default(),
+            talk_dice: Dice::seed_from_u64(seed ^ 0x7a1c),
             spill_limit: spec.rules().spill,
             seed,
             seconds: vec![
--- a/peers/src/ledger.rs
+++ b/peers/src/ledger.rs
@@ -11,9 +11,10 @@
 const SAMPLES: u32 = 5;
 /// Slower than others by so many times is worth telling.
 const SLOW: f64 = 3.0;
-/// Once so many accuse a node, or say that it serves, who has not done so yet need not: it would only cost all of them
-/// datagrams.
-const ENOUGH: usize = 12;
+/// Once so many accuse a node, and once so many say that it serves, who has not done so yet need not: it would only cost all
+/// of them datagrams. Of a node that is merely busy, whom hundreds of routers meet rarely, some always know nothing but a
+/// time-out: those it serves must be able to outvote them.
+const ENOUGH: (usize, usize) = (12, 24);
 /// Who answers an accusation must have been answered by the node within this time: what it did before says nothing.
 const FRESH: Span = 2_000_000;
 /// So much of a faded count is still one sight.
@@ -229,13 +230,13 @@
             let worth = if seen.fails() {
                 let more = seen.failures() >= told.failures() + 0.9;
                 let goes_on = more || (stale && node.at + life / 3 > now);
-                if told.fails() { goes_on } else { others(&id).accusers < ENOUGH }
+                if told.fails() { goes_on } else { others(&id).accusers < ENOUGH.0 }
             } else if seen.serves() {
                 let was = told.is_slow();
                 let others = others(&id);
                 node.contested = node.contested.or(Some(now)).filter(|_| others.contested);
                 let turn = node.contested.is_some_and(|since| now >= since + others.wait);
-                let answers = turn && others.supporters < ENOUGH && node.answered + FRESH >= now;
+                let answers = turn && others.supporters < ENOUGH.1 && node.answered + FRESH >= now;
                 told.fails() || slow != was || (stale && (slow || answers))
             } else {
                 false
--- a/peers/src/members.rs
+++ b/peers/src/members.rs
@@ -26,6 +26,14 @@
 /// Others that are asked to probe who does not answer.
 const INDIRECT: usize = 3;
 
+/// A sum over the members of each part of the order of addresses: two routers with the same sums see the same members.
+pub(crate) type Roll = [u64; 16];
+
+/// In which part of a roll an address counts.
+fn place(address: &SocketAddr) -> usize {
+    (crate::draw(&[address.to_string().as_bytes()]) % 16) as usize
+}
+
 /// What changed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Change {
@@ -125,6 +133,53 @@
         self.active.len() >= MOST
     }
 
+    /// The sums over all members, this router among them.
+    pub(crate) fn roll(&self) -> Roll {
+        let mut roll = Roll::default();
+        for life in self.active.values().chain([self.me()]) {
+            let (boot, turn) = (life.boot.to_le_bytes(), life.turn.to_le_bytes());
+            roll[place(&life.address)] ^= crate::draw(&[life.address.to_string().as_bytes(), &boot, &turn]);
+        }
+        roll
+    }
+
+    /// Members of the parts in which another's sums differ, from one drawn at random on, as many as there is room for.
+    pub(crate) fn differing(&mut self, theirs: &Roll, room: usize) -> Vec<Life> {
+        let ours = self.roll();
+        let first = self.dice.random_range(0..ours.len());
+        let mut lives = Vec::new();
+        let mut left = room;
+        for part in (first..first + ours.len()).map(|n| n % ours.len()).filter(|n| ours[*n] != theirs[*n]) {
+            for life in
+                self.active.values().chain([self.foca.identity()]).filter(|l| place(&l.address) == part)
+            {
+                // Numbers, address and lengths take at most so much beside the names.
+                let size = 36 + life.name.len() + life.zone.len();
+                if size > left {
+                    return lives;
+                }
+                left -= size;
+                lives.push(life.clone());
+            }
+        }
+        lives
+    }
+
+    /// Another sees these; those that are not known here are members until SWIM finds otherwise.
+    ///
+    /// Danger: what SWIM piggybacks is sent a bounded number of times. Where many come and go at once some miss it, and
+    /// without this would not know of them for minutes.
+    pub(crate) fn learn(&mut self, now: Time, lives: Vec<Life>) {
+        let known =
+            |l: &Life| self.active.get(&l.address) == Some(l) || l.address == self.foca.identity().address;
+        let fresh: Vec<_> =
+            lives.into_iter().filter(|l| l.fits() && !known(l)).map(foca::Member::alive).collect();
+        if !fresh.is_empty() && !self.is_full() {
+            let result = self.foca.apply_many(fresh.into_iter(), false, &mut self.runtime);
+            self.settle(now, result);
+        }
+    }
+
     /// Members drawn at random.
     pub(crate) fn some(&mut self, count: usize) -> Vec<SocketAddr> {
         let mut all: Vec<SocketAddr> = self.active.keys().copied().collect();
--- a/peers/src/peers.rs
+++ b/peers/src/peers.rs
@@ -2,11 +2,11 @@
 
 use crate::ledger::Others;
 use crate::life::Life;
-use crate::members::{Change, Members};
+use crate::members::{Change, Members, Roll};
 use crate::records::{Digest, Record, Store, about, of, part, subject};
 use crate::replay::Replays;
 use crate::rules::{Guard, REVIEW, Rules};
-use crate::verdict::{EACH, Level, Opinion, Subject, Verdict, judge};
+use crate::verdict::{Level, Opinion, Subject, Verdict, judge};
 use crate::wire::{Envelope, Fault, Keys, Part, kind};
 use crate::witness::Witness;
 use plovercove::{NodeId, Span, Time};
@@ -334,6 +334,23 @@
                 Err(_) => good = false,
             }
         }
+        let repairs = self.rules.on(Guard::Repair);
+        for body in of(&envelope, kind::ROLL).filter(|_| repairs) {
+            match postcard::from_bytes::<Roll>(body) {
+                Ok(roll) => {
+                    let lives = self.members.differing(&roll, self.room - 8);
+                    let lives = (!lives.is_empty()).then(|| part(kind::MEMBERS, &lives)).flatten();
+                    self.send(now, from, lives.into_iter().collect());
+                }
+                Err(_) => good = false,
+            }
+        }
+        for body in of(&envelope, kind::MEMBERS).filter(|_| late == 0) {
+            match postcard::from_bytes::<Vec<Life>>(body) {
+                Ok(lives) => self.members.learn(now, lives),
+                Err(_) => good = false,
+            }
+        }
         // A suspicion that was long under way is about a time that is over.
         if late == 0 {
             for body in of(&envelope, kind::SWIM) {
@@ -425,8 +442,9 @@
             if self.rules.on(Guard::Repair)
                 && let Some(one) = self.members.some(1).first().copied()
             {
-                let digest = self.store.digest();
-                self.send(now, one, part(kind::DIGEST, &digest).into_iter().collect());
+                let (digest, roll) = (self.store.digest(), self.members.roll());
+                let parts = [part(kind::DIGEST, &digest), part(kind::ROLL, &roll)];
+                self.send(now, one, parts.into_iter().flatten().collect());
             }
         }
     }
@@ -491,14 +509,15 @@
             let told = cases.iter().find(|(s, _)| s.node == *node).map_or(&[][..], |(_, told)| told);
             let of_others = || told.iter().filter(|o| Some(o.observer) != me);
             let accuses = |o: &&Opinion| o.seen.fails() || o.seen.is_slow();
-            let failures: f64 = of_others().filter(accuses).map(|o| o.seen.failures().min(EACH)).sum();
+            let failures: f64 =
+                of_others().filter(accuses).map(|o| o.seen.failures().min(rules.each())).sum();
             let (accusers, slow) =
                 (of_others().filter(accuses).count(), of_others().filter(|o| o.seen.is_slow()).count());
             let luck = crate::draw(&[node.as_bytes(), name]) as f64 / u64::MAX as f64;
             Others {
                 accusers,
                 supporters: of_others().filter(|o| !accuses(o) && o.age <= fresh).count(),
-                contested: accusers >= 2 && (failures + 1.5 >= f64::from(rules.failures) || slow >= 2),
+                contested: accusers >= 2 && (failures * 2.0 >= f64::from(rules.failures) || slow >= 2),
                 wait: (luck * rules.settle() as f64 / 2.0) as Span,
             }
         };
--- a/peers/src/records.rs
+++ b/peers/src/records.rs
@@ -15,8 +15,8 @@
 const ORIGINS: usize = 4_096;
 /// Names that are numbered before all are numbered anew.
 const NUMBERS: usize = 4 * MOST.0;
-/// Entries of one digest, so that it fits in a datagram.
-const DIGEST: usize = 44;
+/// Entries of one digest, so that it fits in a datagram beside a roll of the members.
+const DIGEST: usize = 36;
 /// Bytes that names in a record may have.
 const NAMES: usize = 128;
 
--- a/peers/src/rules.rs
+++ b/peers/src/rules.rs
@@ -74,7 +74,8 @@
     pub evidence_s: f64,
     /// A datagram that was under way for so much longer than others ages what it brings (ms).
     pub late_ms: u64,
-    /// Failures that take a node out, over all observers.
+    /// Failures that take a node out, over all observers; one observer counts for half of them at the most. Fewer are the
+    /// errors and time-outs of a node that is merely busy, met by chance by several routers at once.
     pub failures: u32,
     /// Datagrams a second that a router sends at the most.
     pub datagrams_per_s: u32,
@@ -101,7 +102,7 @@
             repair_ms: 1_000,
             evidence_s: 15.0,
             late_ms: 1_000,
-            failures: 4,
+            failures: 8,
             datagrams_per_s: 80,
             bytes_per_s: 40_000,
             #[cfg(feature = "mutations")]
@@ -128,6 +129,11 @@
         (self.evidence_s * 1e6) as Span
     }
 
+    /// One observer counts for no more failures than this, however many it reports: two are needed at the least.
+    pub(crate) fn each(&self) -> f64 {
+        f64::from(self.failures) / 2.0
+    }
+
     /// That a node serves is believed for so long: those who say it say it again while it does.
     pub(crate) fn fresh(&self) -> Span {
         self.evidence() * 2 / 5
--- a/peers/src/wire.rs
+++ b/peers/src/wire.rs
@@ -20,6 +20,8 @@
     pub const RECORDS: u8 = 2;
     pub const DIGEST: u8 = 3;
     pub const WANT: u8 = 4;
+    pub const ROLL: u8 = 5;
+    pub const MEMBERS: u8 = 6;
 }
 
 /// Why a datagram is dropped.
--- a/peers/tests/common/mod.rs
+++ b/peers/tests/common/mod.rs
@@ -58,6 +58,8 @@
     heap: BinaryHeap<Reverse<(Time, u64, Event)>>,
     order: u64,
     zone: fn(usize) -> &'static str,
+    /// Whether what comes to a router that stands still is lost: its buffers are full.
+    pub full: bool,
     /// Whether routers are asked anything.
     pub asks: bool,
 }
@@ -132,6 +134,7 @@
             heap: BinaryHeap::new(),
             order: 0,
             asks: true,
+            full: false,
             zone,
             rules,
         };
@@ -229,7 +232,9 @@
                 Event::Came { to, life, bytes } => {
                     let router = &mut self.routers[to];
                     if router.up && router.life == life && router.stopped {
-                        router.held.push(bytes);
+                        if !self.full {
+                            router.held.push(bytes);
+                        }
                     } else if router.up && router.life == life {
                         router.peers.receive(self.now, &bytes);
                         self.send(to);
