--- a/experiments/faults-guards.star
+++ b/experiments/faults-guards.star
@@ -46,5 +46,5 @@
     # A primary is slow.
     "primary": {"rate": 360, "faults": [_fault(0.5, 6, node_slow = {"nodes": ["s3"], "ms": 250})]},
     # A node is well again, and most who accused it do not ask it any more.
-    "age": {"wait_s": 9, "faults": [_fault(0.5, 4, node_silent = {"nodes": ["s4"]})]},
+    "age": {"wait_s": 9, "faults": [_fault(0.5, 8, node_silent = {"nodes": ["s4"]})]},
 }
