--- a/lab/tests/sockets.rs
+++ b/lab/tests/sockets.rs
@@ -54,8 +54,7 @@
 
 #[test]
 fn a_hundred_routers_keep_the_rules_when_half_are_killed_and_a_zone_comes_back() {
-    // The case join of that file is not among them: docs/ROADMAP.md says what it found, which is open.
-    for case in ["calm", "herd", "zone"] {
+    for case in ["calm", "herd", "zone", "join"] {
         let output =
             lab(&["run", "--case", case, "--seed", "7", "--strict"], &experiment("larger-fleet.star"));
         assert!(output.status.success(), "{case}: {}", text(&output));
