A router that sees most nodes fail is judged by the most that it told of

The rig's case blame failed once in four runs with all cores loaded: the two routers that were cut off had stopped trying, what they saw had faded, and their last record told of two failing nodes only, while the older ones still accused. What counts is the most failing nodes of any fresh record, and how many nodes it accuses. Three runs of the rig's tests in a row with six busy loops beside them pass, 24 to 26 s each.

--- a/peers/src/verdict.rs
+++ b/peers/src/verdict.rs
@@ -11,7 +11,7 @@
 /// Of those who saw a node of late, so many must find it bad: for less weight, and for none.
 const SHARE: (f64, f64) = (0.4, 0.6);
 /// One who sees so many nodes fail, and more than a third of those it sees, has a broken link of its own.
-const BLAME: u16 = 3;
+const BLAME: u32 = 3;
 /// At most one of so many members of a group is out.
 const THIRD: usize = 3;
 
@@ -128,16 +128,20 @@
 /// The verdicts on these nodes, all that serve, each with the fresh opinions on it. `zones` is in how many zones routers
 /// stand.
 pub fn judge(rules: &Rules, cases: &[(Subject, Vec<Opinion>)], zones: usize) -> BTreeMap<NodeId, Verdict> {
-    // Who sees most nodes fail is told by the last that it said of any: what it said first, it said before it could know.
-    let mut last: BTreeMap<u32, &Opinion> = BTreeMap::new();
+    // Who sees most nodes fail: by the most that it told of, since what it says first it says before it can know, and what
+    // it says last when it has stopped trying; and by how many it accuses, which it need not have seen fail at once.
+    let mut sights: BTreeMap<u32, (u16, u16, u16)> = BTreeMap::new();
     for opinion in cases.iter().flat_map(|(_, told)| told).filter(|_| rules.on(Guard::Blame)) {
-        let known = last.entry(opinion.observer).or_insert(opinion);
-        if opinion.age < known.age {
-            *known = opinion;
-        }
+        let (failing, nodes, accused) = sights.entry(opinion.observer).or_default();
+        *failing = (*failing).max(opinion.seen.failing);
+        *nodes = (*nodes).max(opinion.seen.nodes);
+        *accused += u16::from(opinion.seen.fails());
     }
-    let blames = |o: &Opinion| o.seen.failing >= BLAME && 3 * o.seen.failing > o.seen.nodes;
-    let blind: BTreeSet<u32> = last.values().filter(|o| blames(o)).map(|o| o.observer).collect();
+    let blames = |(failing, nodes, accused): (u16, u16, u16)| {
+        let most = u32::from(failing.max(accused));
+        most >= BLAME && 3 * most > u32::from(nodes)
+    };
+    let blind: BTreeSet<u32> = sights.into_iter().filter(|(_, s)| blames(*s)).map(|(o, _)| o).collect();
     let mut verdicts = BTreeMap::new();
     let mut out: BTreeMap<GroupId, Vec<(Span, NodeId)>> = BTreeMap::new();
     for (subject, told) in cases.iter().filter(|(_, told)| !told.is_empty()) {
