--- a/standin/src/node.rs
+++ b/standin/src/node.rs
@@ -117,12 +117,8 @@
         stream.set_nodelay(true)?;
         wire::welcome(&mut stream, self.role(shared))?;
         loop {
-            let (kind, body) = wire::message(&mut stream)?;
-            if kind != b'Q' {
-                return Ok(());
-            }
-            let text = String::from_utf8_lossy(&body);
-            let statement = text.trim_end_matches('\0');
+            let Some(text) = wire::statement(&mut stream)? else { return Ok(()) };
+            let statement = text.as_str();
             let mut out = Vec::new();
             match statement {
                 "" => wire::put(&mut out, b'I', b""),
--- a/standin/src/rough.rs
+++ b/standin/src/rough.rs
@@ -197,12 +197,8 @@
         let role = if primary { "primary" } else { "standby" };
         wire::welcome(&mut stream, role)?;
         loop {
-            let (kind, body) = wire::message(&mut stream)?;
-            if kind != b'Q' {
-                return Ok(());
-            }
-            let text = String::from_utf8_lossy(&body);
-            let statement = text.trim_end_matches('\0');
+            let Some(text) = wire::statement(&mut stream)? else { return Ok(()) };
+            let statement = text.as_str();
             let mut out = Vec::new();
             if statement == "SHOW pressure" {
                 let position = crate::now() as f64 / 1e6;
--- a/standin/src/trial.rs
+++ b/standin/src/trial.rs
@@ -132,12 +132,8 @@
     let mine = role(&lock(inside));
     wire::welcome(&mut stream, mine)?;
     loop {
-        let (kind, body) = wire::message(&mut stream)?;
-        if kind != b'Q' {
-            return Ok(());
-        }
-        let text = String::from_utf8_lossy(&body);
-        let statement = text.trim_end_matches('\0');
+        let Some(text) = wire::statement(&mut stream)? else { return Ok(()) };
+        let statement = text.as_str();
         let mut out = Vec::new();
         let conduct = lock(inside).conduct.clone();
         if statement == "SHOW pressure" {
--- a/standin/src/wire.rs
+++ b/standin/src/wire.rs
@@ -21,6 +21,13 @@
     Ok((kind, body(stream, u32::from_be_bytes(length) as usize)?))
 }
 
+/// Reads a simple query's statement; none where the client says something else, as at its end.
+pub fn statement(stream: &mut TcpStream) -> io::Result<Option<String>> {
+    let (kind, body) = message(stream)?;
+    let text = || String::from_utf8_lossy(&body).trim_end_matches('\0').to_string();
+    Ok((kind == b'Q').then(text))
+}
+
 fn body(stream: &mut TcpStream, length: usize) -> io::Result<Vec<u8>> {
     if !(4..=LONGEST).contains(&length) {
         return Err(ErrorKind::InvalidData.into());
