Known failing tests are listed in KNOWN-RED.txt and played after all others

Need: a test that is ignored tells nobody anything, and one that passes again goes unnoticed. It is an error if a listed test passes, cannot be found, or stands in two places, if more than three are listed, if a line is not of the form, or if anything else fails.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 	cargo build --release
 
 test:
-	cargo test --workspace --locked
+	.ci/test
 
 lint:
 	cargo fmt --all --check
--- a/fleet/tests/standing.rs
+++ b/fleet/tests/standing.rs
@@ -41,7 +41,6 @@
     {"name": "t3", "share": 1, "quota_per_s": 400}, {"name": "t4", "share": 1, "quota_per_s": 400}]}"#;
 
 #[test]
-#[ignore = "tenants' shares are not weighed yet: each of the four gets 0.26 to 0.29 in the flood, 0.99 without"]
 fn no_tenant_within_its_share_starves_beside_one_that_floods() {
     for seed in 1..3 {
         let calm = run(&spec(&TENANTS.replace("FLOOD", "[]")), seed).expect("it runs");
