One clock for the watch: the next call within 5 s, or 7/8 of the grace where lists are pushed

Cause: a wait (up to 20 s), patience (up to 5 s) and pauses (up to 4 s) were bounded each for itself, so failures in a row were past the 6 s after which a change counts as told. Where lists are pushed, what the agent has counts at once, and the same pauses were longer than the grace. A connection that does not come up was waited for like an answer; a list of an unknown status, of an older version or one cut short was put off by a pause; SIGHUP with the same address changed nothing; a second answer in one read was taken for the answer to the next call, and each one after it for the one after that.

Change: `Vigil` knows how lists come and keeps one turn (5 s, or 7/8 of the grace) from each call to the next; connecting, wait, patience and pause share it. Late answers make waits shorter and patience longer. Pauses go up to a turn where lists are asked for, and are an eighth of the grace where they are pushed. What was spoilt is asked for at once, once between two good lists; a watch that is answered at once with nothing new follows after 100 ms at the most. SIGHUP always calls at once. A reset is told from an end. A second answer ends the connection.

Tests: `Start` wrote "subscribe" for pushed lists and "automatic" for such as are asked for, the reverse of what the settings mean; both modes are played now. The six ignored tests run. The scripted agent answers a watch when its wait is over once its script is at an end, as agents do, and a call that was given up takes nothing from the script; silence has to be scripted. Two tests of `Vigil` held waits of up to 20 s, which are past the clock; those in their place hold patience and pauses. Lists are drawn over 4,000 sequences for each mode by a checker with arithmetic of its own.

--- /dev/null
+++ b/core/tests/vigil.rs
@@ -0,0 +1,392 @@
+//! The waits of a watch, held against the one clock: call by call, and over drawn sequences of whatever discovery does.
+
+use plovercove::{Span, Time};
+use plovercove_core::{Lists, Vigil};
+
+const S: Span = 1_000_000;
+const MS: Span = 1_000;
+/// A change counts as told so long after discovery had it and could be reached.
+const TOLD: Span = 6 * S;
+/// How long a router may still send to a node that drains: the bounds of the settings, and one between.
+const GRACES: [Span; 3] = [500 * MS, 1_000 * MS, 1_500 * MS];
+
+#[test]
+fn a_silence_is_over_and_the_watch_begun_anew_within_the_clock_by_which_a_router_counts_as_told() {
+    // Stricter than it was: no wait prolongs the clock any more, and a second for the next call's answer is left.
+    for seed in 0..200 {
+        let mut vigil = Vigil::new(Lists::Asked, seed);
+        let (_, until) = vigil.call(0, true);
+        vigil.answered(1_000, true);
+        assert!(until <= 5 * S);
+        let (_, until) = vigil.call(1_000, true);
+        let again = vigil.silent(until);
+        assert!(again <= 5 * S + 1_000, "seed {seed}: called again at {again}");
+    }
+}
+
+#[test]
+fn patience_grows_while_answers_are_late_and_shrinks_when_they_are_prompt_again() {
+    // Waits of up to 20 s, which late answers led to, were past the clock: patience grows in the place of waits now.
+    let (mut vigil, mut now, mut patience) = (Vigil::new(Lists::Asked, 1), 0, Vec::new());
+    for late in [0, 0, S, S, S, S, 0, 0, 0, 0, 0, 0, 0] {
+        let (wait, until) = vigil.call(now, true);
+        patience.push((until - now - wait) / MS);
+        now += wait + late;
+        assert!(now <= until, "an answer {late} us late is waited for");
+        vigil.answered(now, false);
+    }
+    assert!(patience[..3].iter().all(|p| *p <= 1_500), "{patience:?}");
+    assert!(patience[6] >= 1_800 && patience[12] <= 1_500, "{patience:?}");
+}
+
+#[test]
+fn refusals_make_calls_rarer_and_silence_makes_patience_longer() {
+    // Rarer by pauses, up to the clock: a longer wait of the call after them was past it.
+    let mut vigil = Vigil::new(Lists::Asked, 2);
+    let mut refused = || {
+        vigil.call(0, true);
+        vigil.failed(0)
+    };
+    let pauses = [refused(), refused(), refused(), refused()];
+    assert!(pauses[0] <= S && pauses[3] > 5 * S / 2 && pauses[3] <= 5 * S, "{pauses:?}");
+    let mut vigil = Vigil::new(Lists::Asked, 2);
+    let mut patience = || {
+        let (wait, until) = vigil.call(0, true);
+        vigil.silent(until);
+        until - wait
+    };
+    assert_eq!([patience(), patience(), patience()], [1_500 * MS, 3_000 * MS, 3_375 * MS]);
+}
+
+#[test]
+fn calls_of_many_routers_do_not_end_together() {
+    let ends = |seed| Vigil::new(Lists::Asked, seed).call(0, true).0;
+    let (least, most) = ((0..300).map(ends).min(), (0..300).map(ends).max());
+    assert!(most.zip(least).is_some_and(|(most, least)| most - least > 400_000), "{least:?} to {most:?}");
+}
+
+#[test]
+fn a_spoilt_list_is_asked_for_again_at_once_but_not_without_end() {
+    for lists in [Lists::Asked, Lists::Pushed { grace: S }] {
+        let mut vigil = Vigil::new(lists, 3);
+        vigil.call(0, true);
+        assert_eq!(vigil.spoilt(100), 100, "news may stand in it");
+        let mut now = 100;
+        for _ in 0..50 {
+            vigil.call(now, false);
+            let next = vigil.spoilt(now + 10);
+            assert!(next >= now + 50 * MS, "{lists:?}: again after {} us", next - now);
+            now = next;
+        }
+        vigil.call(now, false);
+        vigil.answered(now, true);
+        vigil.call(now, true);
+        assert_eq!(vigil.spoilt(now), now, "a good list lies between");
+    }
+}
+
+#[test]
+fn an_agent_that_answers_a_watch_at_once_with_nothing_new_does_not_make_the_loop_spin() {
+    for lists in [Lists::Asked, Lists::Pushed { grace: S }] {
+        let mut vigil = Vigil::new(lists, 4);
+        vigil.call(0, true);
+        let next = vigil.answered(10, false);
+        // 200 ms are what a watch allows for.
+        assert!((50 * MS..200 * MS).contains(&next), "{lists:?}: {next}");
+        vigil.call(next, true);
+        assert_eq!(vigil.answered(next + 10, true), next + 10, "news is followed at once");
+    }
+}
+
+#[test]
+fn a_connection_that_comes_up_late_does_not_prolong_the_turn() {
+    for (lists, turn) in [(Lists::Asked, 5 * S), (Lists::Pushed { grace: 800 * MS }, 700 * MS)] {
+        for seed in 0..200 {
+            let mut vigil = Vigil::new(lists, seed);
+            let up = vigil.connect(0);
+            assert!(up <= turn / 4, "{lists:?}: a connection is waited for up to {up}");
+            let (_, until) = vigil.call(up, true);
+            let again = vigil.silent(until);
+            assert!(again <= turn, "{lists:?}, seed {seed}: called again at {again}");
+        }
+    }
+}
+
+#[test]
+fn a_service_that_always_answers_late_is_heard() {
+    // Danger: with patience that stays, one that takes 3 s longer than the wait would never be.
+    let (mut vigil, mut now, mut heard) = (Vigil::new(Lists::Asked, 7), 0, 0);
+    for _ in 0..20 {
+        let (wait, until) = vigil.call(now, true);
+        let comes = now + wait + 3 * S;
+        if comes <= until {
+            heard += 1;
+            now = vigil.answered(comes, false);
+        } else {
+            now = vigil.silent(until);
+        }
+    }
+    assert!(heard >= 15, "{heard} of 20 answers were waited for");
+}
+
+#[test]
+fn after_sighup_what_failed_before_counts_no_more() {
+    let mut vigil = Vigil::new(Lists::Asked, 5);
+    for _ in 0..6 {
+        vigil.call(0, true);
+        vigil.failed(0);
+    }
+    vigil.moved();
+    vigil.call(0, true);
+    assert!(vigil.failed(0) <= S);
+}
+
+/// Random numbers of the checker's own (xorshift64*).
+struct Dice(u64);
+
+impl Dice {
+    fn under(&mut self, end: u64) -> u64 {
+        self.0 ^= self.0 >> 12;
+        self.0 ^= self.0 << 25;
+        self.0 ^= self.0 >> 27;
+        self.0.wrapping_mul(0x2545_f491_4f6c_dd1d) % end.max(1)
+    }
+
+    fn between(&mut self, least: u64, most: u64) -> u64 {
+        least + self.under(most - least + 1)
+    }
+}
+
+/// A span in which discovery does something to whoever calls.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Weather {
+    /// It takes connections in and answers.
+    Fine,
+    /// Connections never come up.
+    Dark,
+    /// Connections are refused.
+    Refuses,
+    /// Calls are turned away.
+    Overbooked,
+    /// Calls are taken and never answered.
+    Silent,
+    /// Calls are taken and broken off.
+    Breaks,
+    /// Answers can't be read.
+    Spoils,
+    /// Answers come so late that nobody waits for them.
+    Late,
+}
+
+const ALL: [Weather; 8] = [
+    Weather::Fine,
+    Weather::Dark,
+    Weather::Refuses,
+    Weather::Overbooked,
+    Weather::Silent,
+    Weather::Breaks,
+    Weather::Spoils,
+    Weather::Late,
+];
+
+/// How discovery is where the router runs, in bounds of its own (us): connecting and answering.
+struct Near {
+    up: Span,
+    answer: Span,
+    kinds: &'static [Weather],
+}
+
+/// Plays one router against drawn weather. For each change: from when on discovery had it and could be reached for longer
+/// than it may take, and when the router knew it.
+fn play(lists: Lists, seed: u64, near: &Near, within: Span, end: Time) -> Vec<(Time, Option<Time>)> {
+    let mut dice = Dice(seed * 2 + 1);
+    // Spans of weather, fine ones between others; the last lasts to the end.
+    let (mut spans, mut at) = (vec![], 0);
+    while at < end - 20 * S {
+        let kind = if dice.under(2) == 0 {
+            Weather::Fine
+        } else {
+            near.kinds[dice.under(near.kinds.len() as u64) as usize]
+        };
+        spans.push((at, kind));
+        at += dice.between(20 * MS, 9 * S);
+    }
+    spans.push((at, Weather::Fine));
+    let weather =
+        |now: Time| spans.iter().rev().find(|(from, _)| *from <= now).map_or(Weather::Fine, |w| w.1);
+    // Calls that are out when fine weather begins may be answered then, or have fallen silent for good.
+    let fine_until = |now: Time| {
+        spans.iter().find(|(from, kind)| *from > now && *kind != Weather::Fine).map_or(end, |w| w.0)
+    };
+    let mut changes: Vec<Time> = (0..dice.between(3, 12)).map(|_| dice.under(end - 10 * S)).collect();
+    changes.sort_unstable();
+    let version = |now: Time| changes.iter().filter(|c| **c <= now).count();
+    let mut heard: Vec<(usize, Time)> = vec![(0, 0)];
+    let mut judged = vec![];
+    let (mut vigil, mut now, mut connected, mut whole) = (Vigil::new(lists, seed), 0, false, false);
+    while now < end {
+        let begun = now;
+        if !connected {
+            let until = vigil.connect(now);
+            let up = now + dice.between(1, near.up);
+            match weather(now) {
+                Weather::Dark => {
+                    now = vigil.failed(until);
+                    continue;
+                }
+                Weather::Refuses => {
+                    now = vigil.failed(up.min(until));
+                    continue;
+                }
+                _ if up > until => {
+                    now = vigil.failed(until);
+                    continue;
+                }
+                _ => (now, connected) = (up, true),
+            }
+        }
+        let known = heard.last().map_or(0, |h| h.0);
+        let (wait, until) = vigil.call(now, !whole);
+        let came = weather(now);
+        // A connection that was begun in silence stays silent.
+        if came != Weather::Fine || matches!(weather(begun), Weather::Silent | Weather::Late) {
+            connected = false;
+            now = match came {
+                Weather::Overbooked | Weather::Refuses => vigil.failed(now + dice.between(1, near.answer)),
+                Weather::Breaks => vigil.failed(dice.between(now, until)),
+                Weather::Spoils => {
+                    whole = true;
+                    vigil.spoilt(now + dice.between(1, near.answer))
+                }
+                _ => vigil.silent(until),
+            };
+            continue;
+        }
+        // In fine weather: news at once, or when it comes, or nothing when the wait is over.
+        let next = changes.iter().copied().find(|c| *c > now).unwrap_or(end).min(now + wait);
+        let told = if whole || version(now) > known { now } else { next };
+        let ends = fine_until(now);
+        if told >= ends {
+            // The weather changes under the watch.
+            connected = false;
+            now = match weather(ends) {
+                Weather::Refuses | Weather::Breaks | Weather::Overbooked => {
+                    vigil.failed(ends.clamp(now, until))
+                }
+                Weather::Spoils => {
+                    whole = true;
+                    vigil.spoilt(ends.clamp(now, until))
+                }
+                _ => vigil.silent(until),
+            };
+            continue;
+        }
+        let answered = told + dice.between(1, near.answer);
+        if answered > until {
+            connected = false;
+            now = vigil.silent(until);
+            continue;
+        }
+        let news = whole || version(told) > known;
+        heard.push((version(told), answered));
+        whole = false;
+        now = vigil.answered(answered, news);
+    }
+    for (number, change) in changes.iter().enumerate() {
+        // From when on it could be reached, up to when the router knew it: the last time that it became fine by then.
+        let knew = heard.iter().find(|(version, _)| *version > number).map(|h| h.1);
+        let fine = spans.iter().enumerate().filter(|(_, (_, kind))| *kind == Weather::Fine);
+        let mut due = None;
+        for (place, (from, _)) in fine {
+            let from = (*from).max(*change);
+            let to = spans.get(place + 1).map_or(end, |next| next.0);
+            // A fine span that was long enough to have to be known in it.
+            if due.is_none() && from < to && to - from > within {
+                due = Some(from);
+            }
+        }
+        if let Some(due) = due {
+            judged.push((due, knew));
+        }
+    }
+    judged
+}
+
+fn holds(lists: Lists, near: &Near, within: Span) {
+    let (mut judged, mut worst) = (0, 0);
+    for seed in 0..4_000 {
+        for (due, knew) in play(lists, seed, near, within, 90 * S) {
+            let late = knew.map_or(Span::MAX, |knew| knew.saturating_sub(due));
+            assert!(late <= within, "{lists:?}, seed {seed}: due from {due}, known {late} us later");
+            (judged, worst) = (judged + 1, worst.max(late));
+        }
+    }
+    println!("{lists:?}: {judged} changes, the latest known after {worst} us of {within}");
+    assert!(judged > 4_000, "only {judged} changes were judged");
+}
+
+#[test]
+fn whatever_failed_before_a_change_is_known_within_the_clock_where_lists_are_asked_for() {
+    // Of the second that is left for it, connecting takes up to 400 ms and an answer up to 500.
+    holds(Lists::Asked, &Near { up: 400 * MS, answer: 500 * MS, kinds: &ALL }, TOLD);
+}
+
+#[test]
+fn whatever_failed_before_a_change_is_known_within_the_grace_where_lists_are_pushed() {
+    // Also where the call that is out has fallen silent. On the router's own machine all is quick.
+    for grace in GRACES {
+        holds(Lists::Pushed { grace }, &Near { up: 5 * MS, answer: 20 * MS, kinds: &ALL }, grace);
+    }
+}
+
+#[test]
+fn after_a_failure_that_shows_a_change_is_known_within_a_quarter_of_the_grace_where_lists_are_pushed() {
+    const SHOWN: [Weather; 3] = [Weather::Refuses, Weather::Overbooked, Weather::Spoils];
+    for grace in GRACES {
+        let near = Near { up: 2 * MS, answer: 10 * MS, kinds: &SHOWN };
+        holds(Lists::Pushed { grace }, &near, grace / 4);
+    }
+}
+
+#[test]
+fn three_hundred_watches_that_end_in_one_instant_keep_calls_bounded() {
+    // All broken at once and refused from then on. Bound: two calls of each router in the worst second, and after 20 s
+    // a call of each in two and a half seconds at the most, which is 120 a second, and one in five seconds at the least.
+    const ROUTERS: u64 = 300;
+    let mut calls = vec![0_u64; 600];
+    for router in 0..ROUTERS {
+        let mut vigil = Vigil::new(Lists::Asked, router * 0x1234_5677 + 1);
+        vigil.call(0, true);
+        let mut now = vigil.failed(S);
+        while let Some(count) = calls.get_mut((now / (S / 10)) as usize) {
+            *count += 1;
+            vigil.connect(now);
+            now = vigil.failed(now + MS);
+        }
+    }
+    let seconds: Vec<u64> = calls.windows(10).map(|w| w.iter().sum()).collect();
+    let worst = seconds.iter().copied().max().unwrap_or(0);
+    let settled = &seconds[200..];
+    println!("worst {worst} a second, settled {:?} to {:?}", settled.iter().min(), settled.iter().max());
+    assert!(worst <= 2 * ROUTERS, "{seconds:?}");
+    assert!(settled.iter().all(|n| (ROUTERS / 6..=ROUTERS * 2 / 5).contains(n)), "{settled:?}");
+    // Broken in one instant, they don't come back in one: no tenth of a second sees more than a third of them.
+    assert!(calls.iter().all(|n| *n <= ROUTERS / 3), "{:?}", &calls[..40]);
+}
+
+#[test]
+fn where_lists_are_pushed_a_silent_agent_is_called_again_before_the_grace_is_over_and_not_without_end() {
+    for grace in [0, 1, 500 * MS, S, 1_500 * MS, 3_600 * S] {
+        let mut vigil = Vigil::new(Lists::Pushed { grace }, 6);
+        let mut now = 0;
+        for _ in 0..100 {
+            vigil.connect(now);
+            let (_, until) = vigil.call(now, true);
+            let next = vigil.silent(until);
+            let took = next - now;
+            assert!((100 * MS..=5 * S).contains(&took), "{grace}: {took}");
+            assert!(took < grace.max(150 * MS), "{grace}: {took}");
+            now = next;
+        }
+    }
+}
--- a/router/src/discovery.rs
+++ b/router/src/discovery.rs
@@ -1,7 +1,7 @@
 //! Discovery: the list of db nodes, watched over HTTP at the agent on this machine.
 //!
 //! A watch goes on as long as each call follows the last answer within 200 ms, so the next call is written in the turn in
-//! which an answer was read. An agent that is silent or refuses leaves the list as it is.
+//! which an answer was read; `Vigil` says when else to call. An agent that is silent or refuses leaves the list as it is.
 
 use crate::clock;
 use crate::net::budget::Budget;
@@ -142,11 +142,23 @@
     }
 }
 
+/// How far the watch is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// The next call is made at the deadline.
+    Resting,
+    /// A connection is begun for it.
+    Connecting,
+    /// It is made, and not answered yet.
+    Calling,
+}
+
 /// The watch on the agent.
 pub struct Discovery {
     poll: Poll,
     agent: SocketAddr,
     stream: Option<Stream>,
+    phase: Phase,
     /// The version that the next call asks for news of; none: it asks for the whole list.
     index: Option<u64>,
     deadline: Option<Time>,
@@ -160,17 +172,18 @@
 
 impl Discovery {
     /// A watch that has not begun, from this version of the list on, if one is known.
-    pub fn new(poll: &Poll, agent: SocketAddr, index: Option<u64>, seed: u64) -> Self {
+    pub fn new(poll: &Poll, agent: SocketAddr, index: Option<u64>, vigil: Vigil) -> Self {
         Discovery {
             poll: poll.clone(),
             agent,
             stream: None,
+            phase: Phase::Resting,
             index,
             deadline: None,
             failing: false,
             named: index.is_some(),
             odd: None,
-            vigil: Vigil::new(seed),
+            vigil,
         }
     }
 
@@ -179,13 +192,15 @@
         self.call(now, core);
     }
 
-    /// Goes on at another agent. The list stays until that one has told its own, whole: its versions may be counted
-    /// differently.
+    /// Goes on at the agent that a new configuration names, and calls it at once: what it has counts as told soon, also
+    /// where it is the same one and a pause or a call that has fallen silent would be sat out first. The list stays until
+    /// another agent has told its own, whole: its versions may be counted differently.
     pub fn move_to(&mut self, agent: SocketAddr, now: Time, core: &mut Core) {
-        if agent == self.agent {
-            return;
+        if agent != self.agent {
+            (self.agent, self.index, self.failing) = (agent, None, false);
         }
-        (self.agent, self.stream, self.index, self.failing) = (agent, None, None, false);
+        self.stream = None;
+        self.vigil.moved();
         self.call(now, core);
     }
 
@@ -196,14 +211,27 @@
         Stream::new(&self.poll, &Budget::new(LONGEST), socket, key, Interest::Write, LONGEST)
     }
 
+    fn wait(&mut self, phase: Phase, until: Time, core: &mut Core) {
+        self.phase = phase;
+        core.deadlines.set(&mut self.deadline, Due::Discovery, Some(until));
+    }
+
     fn call(&mut self, now: Time, core: &mut Core) {
-        if self.stream.is_none() {
-            match self.connect() {
-                Ok(stream) => self.stream = Some(stream),
-                Err(e) => return self.failed(&Trouble::Connect(e), now, core),
+        if self.stream.is_some() {
+            return self.request(now, core);
+        }
+        let until = self.vigil.connect(now);
+        match self.connect() {
+            Ok(stream) => {
+                self.stream = Some(stream);
+                self.wait(Phase::Connecting, until, core);
             }
+            Err(e) => self.failed(&Trouble::Connect(e), now, core),
         }
-        let Some(stream) = &mut self.stream else { return };
+    }
+
+    /// Writes the call to the connection, which is up.
+    fn request(&mut self, now: Time, core: &mut Core) {
         let (wait, until) = self.vigil.call(now, self.index.is_some());
         let path = match self.index {
             Some(index) => format!("/api/targets?after={index}&wait_ms={}", clock::to_ms(wait)),
@@ -211,14 +239,12 @@
         };
         let request =
             format!("GET {path} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", self.agent);
+        self.wait(Phase::Calling, until, core);
+        let Some(stream) = &mut self.stream else { return };
         stream.put(|out| out.extend_from_slice(request.as_bytes()));
-        core.deadlines.set(&mut self.deadline, Due::Discovery, Some(until));
-        if let Some(stream) = self.stream.as_mut().filter(|s| s.connected()) {
-            // What can't be written yet goes once there is room.
-            if stream.flush().is_ok() {
-                stream.wait_for(true);
-            }
-        }
+        // What can't be written yet goes once there is room; that it broke is told by the next event.
+        let _ = stream.flush();
+        stream.wait_for(true);
     }
 
     /// The call failed: the list stays, and the next call asks for news of it, which costs less than the whole.
@@ -232,21 +258,32 @@
         }
         self.stream = None;
         let at = match trouble {
-            Trouble::Silent => self.vigil.silent(now),
-            Trouble::Status(_) => self.vigil.refused(now),
-            _ => self.vigil.spoilt(now),
+            Trouble::Silent if self.phase == Phase::Calling => self.vigil.silent(now),
+            Trouble::Silent
+            | Trouble::Connect(_)
+            | Trouble::Unreachable
+            | Trouble::Closed
+            | Trouble::Status(_) => self.vigil.failed(now),
+            // Something was answered, and may have held news.
+            Trouble::NotHttp(_)
+            | Trouble::Length(_)
+            | Trouble::Chunk
+            | Trouble::TooLong
+            | Trouble::List(_)
+            | Trouble::Nobody
+            | Trouble::Older(_)
+            | Trouble::Odd(_) => self.vigil.spoilt(now),
         };
         debug!(%trouble, pause = at - now, "a call of discovery failed");
-        core.deadlines.set(&mut self.deadline, Due::Discovery, Some(at));
+        self.wait(Phase::Resting, at, core);
     }
 
-    /// Its deadline is over: a pause, or an answer that has not come.
+    /// Its deadline is over: a pause, a connection that has not come up, or an answer that has not come.
     pub fn due(&mut self, now: Time, core: &mut Core) {
         self.deadline = None;
-        if self.stream.is_some() {
-            self.failed(&Trouble::Silent, now, core);
-        } else {
-            self.call(now, core);
+        match self.phase {
+            Phase::Resting => self.call(now, core),
+            Phase::Connecting | Phase::Calling => self.failed(&Trouble::Silent, now, core),
         }
     }
 
@@ -267,7 +304,7 @@
         Some(Trouble::Odd(odd))
     }
 
-    fn follow(&mut self, listing: Listing, now: Time, found: &mut Vec<Listing>) {
+    fn follow(&mut self, listing: &Listing, now: Time, core: &mut Core) {
         if std::mem::take(&mut self.failing) {
             info!("discovery answers again");
             // It was doubted just now, so this is told once, and not with every list that has it.
@@ -275,56 +312,79 @@
         }
         self.odd.clone_from(&listing.odd);
         debug!(index = listing.index, entries = listing.entries.len(), "list");
-        self.vigil.answered(now, listing.whole || !listing.entries.is_empty());
+        let news = self.index != Some(listing.index);
         self.named |= !listing.entries.is_empty();
         self.index = Some(listing.index);
-        found.push(listing);
+        match self.vigil.answered(now, news) {
+            at if at > now => self.wait(Phase::Resting, at, core),
+            // In the same turn: the watch goes on.
+            _ => self.call(now, core),
+        }
     }
 
-    /// The poller has something to say of the connection. Returns the answers that have come.
-    pub fn event(&mut self, now: Time, core: &mut Core) -> Vec<Listing> {
-        let mut found = Vec::new();
-        let Some(stream) = &mut self.stream else { return found };
-        if !stream.connected() || stream.flush().is_err() {
-            self.failed(&Trouble::Unreachable, now, core);
-            return found;
+    /// The poller has something to say of the connection. Returns the answer that has come.
+    pub fn event(&mut self, now: Time, core: &mut Core) -> Option<Listing> {
+        let stream = self.stream.as_mut()?;
+        if self.phase == Phase::Connecting {
+            match stream.connected() {
+                true => self.request(now, core),
+                false => self.failed(&Trouble::Unreachable, now, core),
+            }
+            return None;
         }
+        // What was said before a connection broke is read all the same; that it broke is asked once only, since asking
+        // takes it away and the next read would find an end.
+        let broke = stream.flush().is_err();
         stream.wait_for(true);
-        let peer = stream.fill();
-        loop {
-            let Some(stream) = &mut self.stream else { return found };
-            match answer(stream.unread(), peer != Peer::Open) {
-                Ok(None) => break,
-                Ok(Some((body, length))) => {
-                    stream.take(length);
-                    match parse(body).and_then(|value| listing(&value, "")) {
-                        Ok(listing) => match self.doubt(&listing) {
-                            None => {
-                                self.follow(listing, now, &mut found);
-                                if peer != Peer::Open {
-                                    self.stream = None;
-                                }
-                                self.call(now, core);
-                            }
-                            Some(cause) => self.failed(&cause, now, core),
-                        },
-                        Err(fault) => {
-                            // What could not be read may have held news: it is asked for whole.
-                            self.index = None;
-                            self.failed(&Trouble::List(fault), now, core);
-                        }
-                    }
+        let peer = match stream.fill() {
+            Peer::Gone if broke => Peer::Reset,
+            peer => peer,
+        };
+        let length = stream.unread().len();
+        if self.phase == Phase::Resting {
+            if peer != Peer::Open || length > 0 {
+                self.stream = None;
+            }
+            return None;
+        }
+        // A reset is no end: what has no length is whole only where the other side ended it.
+        let (body, end) = match answer(stream.unread(), peer == Peer::Gone) {
+            Ok(Some(whole)) => whole,
+            Ok(None) => {
+                match peer {
+                    Peer::Open if length < LONGEST => {}
+                    Peer::Open | Peer::TooMuch => self.failed(&Trouble::TooLong, now, core),
+                    Peer::Gone | Peer::Reset => self.failed(&Trouble::Closed, now, core),
                 }
-                Err(cause) => self.failed(&cause, now, core),
+                return None;
             }
-            if peer != Peer::Open {
-                return found;
+            Err(cause) => {
+                self.failed(&cause, now, core);
+                return None;
             }
+        };
+        // Danger: an answer that nobody asked for would be taken for the one to the next call, and each one from then on
+        // for the one after it. What it holds is asked for on a new connection.
+        if peer != Peer::Open || end < length {
+            self.stream = None;
+        } else {
+            stream.take(end);
         }
-        if peer != Peer::Open {
-            self.failed(&Trouble::Closed, now, core);
+        let listing = match parse(body).and_then(|value| listing(&value, "")) {
+            Ok(listing) => listing,
+            Err(fault) => {
+                // What could not be read may have held news: it is asked for whole.
+                self.index = None;
+                self.failed(&Trouble::List(fault), now, core);
+                return None;
+            }
+        };
+        if let Some(cause) = self.doubt(&listing) {
+            self.failed(&cause, now, core);
+            return None;
         }
-        found
+        self.follow(&listing, now, core);
+        Some(listing)
     }
 }
 
--- a/router/src/net/stream.rs
+++ b/router/src/net/stream.rs
@@ -14,8 +14,10 @@
 pub enum Peer {
     /// It may say more.
     Open,
-    /// It has closed or reset the connection.
+    /// It has ended the connection.
     Gone,
+    /// The connection broke: what has come may be a part of what was sent.
+    Reset,
     /// It says more than there is memory for.
     TooMuch,
 }
@@ -83,7 +85,7 @@
                 Ok(count) => return Ok(count),
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return Err(Peer::Open),
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return Err(Peer::Gone),
+                Err(_) => return Err(Peer::Reset),
             }
         }
     }
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -12,7 +12,7 @@
 use crate::peers::{self, Talk};
 use crate::upstream::pg::Upstream;
 use plovercove::{ListUpdate, Listed, Time, Zoning};
-use plovercove_core::{Command, Core, Due};
+use plovercove_core::{Command, Core, Due, Lists, Vigil};
 use plovercove_peers::Witness;
 use plovercove_poller::{Events, Poll};
 use plovercove_settings::Names;
@@ -66,6 +66,10 @@
         let names = Names::of(&settings);
         // What is known is of some version: only what came after it is asked for, a few lines instead of all of them.
         let index = Some(config.known.index).filter(|_| !config.known.entries.is_empty());
+        let lists = match settings.subscribe {
+            true => Lists::Asked,
+            false => Lists::Pushed { grace: settings.drain_grace },
+        };
         let clock = Clock::default();
         let zoning = tiers.map(|tiers| Box::new(tiers) as Box<dyn Zoning>);
         let zoning = match &peers {
@@ -86,7 +90,7 @@
                 settings.connect_timeout,
                 settings.connection_idle,
             ),
-            discovery: Discovery::new(&poll, config.discovery, index, config.seed),
+            discovery: Discovery::new(&poll, config.discovery, index, Vigil::new(lists, config.seed)),
             core: match zoning {
                 Some(zoning) => Core::new(settings, config.seed).zoned(zoning),
                 None => Core::new(settings, config.seed),
@@ -144,7 +148,7 @@
         };
         // What discovery says goes first: whatever else is read in this turn is decided by the new list.
         for _ in of(Source::Discovery) {
-            for listing in self.discovery.event(now, &mut self.core) {
+            if let Some(listing) = self.discovery.event(now, &mut self.core) {
                 self.list(listing, false, now);
             }
         }
--- a/router/src/upstream/pg.rs
+++ b/router/src/upstream/pg.rs
@@ -452,7 +452,7 @@
         while self.read(key, now, core) {}
         match peer {
             Peer::Open => {}
-            Peer::Gone => self.broken(key, now, core),
+            Peer::Gone | Peer::Reset => self.broken(key, now, core),
             Peer::TooMuch => self.spoilt(key, now, core),
         }
     }
--- a/router/tests/standing_fleet/mod.rs
+++ b/router/tests/standing_fleet/mod.rs
@@ -15,7 +15,7 @@
 /// See `PATIENCE`.
 pub const DEADLINE: Duration = Duration::from_millis(1_000);
 /// How long after it was told a router may still send to a node that drains (us).
-const GRACE: u64 = 1_000_000;
+pub const GRACE: u64 = 1_000_000;
 
 /// An entry of the list; all are of group 1.
 pub fn entry(name: usize, node: &Node, primary: bool, status: &str) -> Value {
@@ -71,7 +71,7 @@
             "limits": {"cores": 1.0, "memory_mb": 64, "sockets": self.sockets},
             "known": {"index": 41, "snapshot": true, "endpoints": self.known},
             "settings": {"Balancers": 1, "SlotNo": 0, "Tick": 5000,
-                "Discovery": if self.pushed { "subscribe" } else { "automatic" }, "Zone": "z",
+                "Discovery": if self.pushed { "automatic" } else { "subscribe" }, "Zone": "z",
                 "FamilyInfo": {"ClassRead": ["loose", "update"], "MaxAge": [0, 0],
                     "ServerChecks": "silent", "ShowsRole": "delayed", "SessionMarks": "client"},
                 "Limits": {"Cancel": true, "ConnIdle": 30_000_000, "DialTimeout": 250_000, "MaxAttempts": 6,
--- a/router/tests/standing_watch.rs
+++ b/router/tests/standing_watch.rs
@@ -6,9 +6,11 @@
 mod standing_fleet;
 
 use plovercove_standin::process::Blow;
-use plovercove_standin::rough::{Agent, Manner, Says};
-use serde_json::Value;
-use standing_fleet::{HANGS, Start, group, listing, with_status};
+use plovercove_standin::rough::{Agent, Manner, Node, Says};
+use plovercove_standin::{Caller, Fate};
+use serde_json::{Value, json};
+use standing_fleet::{GRACE, HANGS, Start, ask, entry, group, listing, with_status};
+use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 /// What a silent watch misses counts as told so long after it fell silent ...
@@ -97,13 +99,13 @@
     in_the_middle_of_a_body: |all| vec![list(all), Says::Half(listing(43, all))],
     #[doc = "One silence."]
     after_a_failure: |all| vec![list(all), Says::Closes, Says::Nothing],
-    #[ignore = "a second silence or refusal in a row is up to 1 s later than the clock: see the roadmap"]
+    #[doc = "Failures or silences in a row."]
     after_a_failed_start: |_| vec![Says::Status(503), Says::Nothing],
-    #[ignore = "a second silence or refusal in a row is up to 1 s later than the clock: see the roadmap"]
+    #[doc = "Failures or silences in a row."]
     while_failures_go_on: |all| {
         vec![list(all), Says::Closes, Says::Status(503), Says::Closes, Says::Status(503), Says::Nothing]
     },
-    #[ignore = "a second silence or refusal in a row is up to 1 s later than the clock: see the roadmap"]
+    #[doc = "Failures or silences in a row."]
     again_and_again: |all| vec![list(all), Says::Nothing, Says::Half(listing(43, all)), Says::Nothing],
 }
 
@@ -133,3 +135,169 @@
 fn a_first_call_that_is_refused_after_sighup_is_made_again_in_time() {
     moved("watch-moved-closed", Says::Closes);
 }
+
+/// Where lists are pushed, what the agent has counts as told at once: from then on a router has the grace.
+const AT_ONCE: Duration = Duration::from_micros(GRACE);
+
+/// The agent plays this, and then has news: so long after it had said its last word the next call comes, and it is asked
+/// for what came after this version, or for all.
+fn followed(name: &str, script: fn(&[Value]) -> Vec<Says>, within: Duration) -> Vec<String> {
+    let (_nodes, entries) = group([Manner::Good; 3]);
+    let script = script(&entries);
+    let last = script.len() - 1;
+    let agent = Agent::start(script).expect("an agent");
+    agent.then(Says::Body(listing(90, &with_status(&entries, 2, "leaving"))));
+    let (router, _folder) = Start { pushed: true, ..Start::before(name, &agent, &entries) }.run();
+    assert!(agent.called(last + 3, HANGS), "{:?}: {:?}", agent.calls(), router.lines());
+    let (times, calls) = (agent.times(), agent.calls());
+    let pause = times[last + 1].0 - times[last].1.expect("it has said it");
+    assert!(pause < within, "it came back after {pause:?}: {calls:?}");
+    assert!(calls[last + 2].contains("after=90"), "{calls:?}");
+    calls
+}
+
+/// The pause after a failure that shows is an eighth of the grace: with a loaded machine's turns, a half.
+const SOON: Duration = Duration::from_micros(GRACE / 2);
+
+#[test]
+fn after_failures_in_a_row_a_pushed_list_is_asked_for_within_a_part_of_the_grace() {
+    let script = |all: &[Value]| {
+        let failures = [Says::Closes, Says::Status(503), Says::Closes, Says::Status(503), Says::Closes];
+        std::iter::once(list(all)).chain(failures).collect()
+    };
+    followed("watch-failures", script, SOON);
+}
+
+#[test]
+fn a_silent_agent_of_pushed_lists_is_called_again_before_the_grace_is_over() {
+    followed("watch-silent-soon", |all| vec![list(all), Says::Nothing], AT_ONCE);
+}
+
+#[test]
+fn news_in_a_spoilt_list_is_asked_for_at_once() {
+    // A word that is not known, changes of an older version, what is cut short: news may stand in each.
+    for (name, spoilt) in [
+        ("odd", (|all| listing(43, &with_status(all, 1, "resting"))) as fn(&[Value]) -> String),
+        ("older", |_| json!({"index": 7, "snapshot": false, "endpoints": []}).to_string()),
+        ("cut", |all| listing(43, all)[..90].to_string()),
+    ] {
+        let (_nodes, entries) = group([Manner::Good; 3]);
+        let agent = Agent::start(vec![list(&entries), Says::Body(spoilt(&entries))]).expect("an agent");
+        agent.then(Says::Body(listing(90, &entries)));
+        let name = format!("watch-spoilt-{name}");
+        let (router, _folder) = Start::before(&name, &agent, &entries).run();
+        assert!(agent.called(4, HANGS), "{:?}: {:?}", agent.calls(), router.lines());
+        let (times, calls) = (agent.times(), agent.calls());
+        let pause = times[2].0 - times[1].1.expect("it has said it");
+        // Lists are asked for: a pause would be half a second at the least.
+        assert!(pause < Duration::from_millis(200), "{name}: asked again after {pause:?}");
+        assert!(calls[2].starts_with("GET /api/targets HTTP"), "{calls:?}");
+    }
+}
+
+#[test]
+fn an_agent_that_only_spoils_its_lists_does_not_make_the_loop_spin() {
+    let (_nodes, entries) = group([Manner::Good; 3]);
+    let spoilt = (0..12).map(|_| Says::Body("{".into()));
+    let agent = Agent::start(spoilt.collect()).expect("an agent");
+    let (router, _folder) = Start { pushed: true, ..Start::before("watch-spin", &agent, &entries) }.run();
+    assert!(agent.called(12, HANGS), "{:?}: {:?}", agent.calls(), router.lines());
+    let took = agent.times()[11].0 - agent.times()[1].0;
+    // Ten pauses of a sixteenth of the grace at the least.
+    assert!(took > AT_ONCE / 16 * 10, "ten calls within {took:?}");
+}
+
+#[test]
+fn after_sighup_the_same_agent_is_called_at_once_also_in_a_pause() {
+    let (_nodes, entries) = group([Manner::Good; 3]);
+    let refusals = (0..4).map(|_| Says::Status(503));
+    let agent = Agent::start(std::iter::once(list(&entries)).chain(refusals).collect()).expect("an agent");
+    let start = Start::before("watch-moved-same", &agent, &entries);
+    let (mut router, _folder) = start.run();
+    // After four refusals in a row the pause is 2 s at the least.
+    assert!(agent.called(5, HANGS), "{:?}: {:?}", agent.calls(), router.lines());
+    let refused = agent.times()[4].1;
+    router.strike(Blow::Reload);
+    let struck = Instant::now();
+    assert!(agent.called(6, HANGS), "{:?}", router.lines());
+    let took = agent.times()[5].0.saturating_duration_since(struck);
+    assert!(took < Duration::from_millis(800), "{took:?} after SIGHUP, refused at {refused:?}");
+}
+
+#[test]
+fn a_reset_is_no_end_of_a_list_without_a_length() {
+    let (_nodes, entries) = group([Manner::Good; 3]);
+    let script = vec![
+        list(&entries),
+        Says::Ends(listing(50, &entries)),
+        Says::Resets(listing(60, &entries)),
+        Says::Body(listing(70, &entries)),
+    ];
+    let agent = Agent::start(script).expect("an agent");
+    let (router, _folder) = Start { pushed: true, ..Start::before("watch-reset", &agent, &entries) }.run();
+    assert!(agent.called(5, HANGS), "{:?}: {:?}", agent.calls(), router.lines());
+    let calls = agent.calls();
+    assert!(calls[2].contains("after=50"), "an end is one: {calls:?}");
+    assert!(!calls[3].contains("after=60"), "a reset is none: {calls:?}");
+    assert!(calls[4].contains("after=70"), "{calls:?}");
+}
+
+#[test]
+fn of_two_answers_in_one_read_the_second_answers_no_later_call() {
+    let (_nodes, entries) = group([Manner::Good; 3]);
+    let agent =
+        Agent::start(vec![Says::Twice(listing(50, &entries), listing(60, &entries))]).expect("an agent");
+    agent.then(Says::Body(listing(70, &entries)));
+    let (router, _folder) = Start::before("watch-twice", &agent, &entries).run();
+    assert!(agent.called(3, HANGS), "{:?}: {:?}", agent.calls(), router.lines());
+    let calls = agent.calls();
+    assert!(calls[1].contains("after=50") && calls[2].contains("after=70"), "{calls:?}");
+}
+
+#[test]
+fn a_node_that_a_whole_list_lacks_is_gone() {
+    let (nodes, entries) = group([Manner::Good; 3]);
+    let extra = Node::start(Manner::Good, false).expect("a node");
+    let mut more = entries.clone();
+    more.push(entry(3, &extra, false, "active"));
+    let agent = Agent::start(vec![list(&more), Says::Body(listing(43, &entries))]).expect("an agent");
+    let (router, _folder) = Start::before("watch-lacks", &agent, &more).run();
+    assert!(agent.called(3, HANGS), "{:?}: {:?}", agent.calls(), router.lines());
+    let before = extra.ran().len();
+    let mut client = Caller::new(router.listen());
+    for n in 0..40 {
+        assert_eq!(ask(&mut client, &format!("a{n:04x}"), "look"), Fate::Served);
+    }
+    assert_eq!(extra.ran().len(), before, "it is sent nothing");
+    assert!(nodes.iter().any(|node| !node.ran().is_empty()));
+}
+
+/// A listener that no connection comes up to until it is opened: its queue is full.
+fn deaf() -> (socket2::Socket, Vec<TcpStream>) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+    socket.listen(0).expect("it listens");
+    let at = socket.local_addr().ok().and_then(|at| at.as_socket()).expect("an address");
+    let mut held = Vec::new();
+    while let Ok(stream) = TcpStream::connect_timeout(&at, Duration::from_millis(200)) {
+        held.push(stream);
+    }
+    (socket, held)
+}
+
+#[test]
+fn a_connection_that_never_comes_up_is_given_up_before_an_answer_would_be() {
+    let (_nodes, entries) = group([Manner::Good; 3]);
+    let (socket, _held) = deaf();
+    let agent = socket.local_addr().ok().and_then(|at| at.as_socket()).expect("an address").to_string();
+    // Connecting has a quarter of what is between two calls: 1.25 s, or a quarter of seven eighths of the grace.
+    for (pushed, within) in [(false, Duration::from_millis(2_500)), (true, AT_ONCE)] {
+        let name = format!("watch-deaf-{pushed}");
+        let start = Start { name: &name, agent: agent.clone(), known: &entries, pushed, sockets: 512 };
+        let (router, _folder) = start.run();
+        let ready = Instant::now();
+        assert!(router.says("discovery: no answer", HANGS).is_some(), "{:?}", router.lines());
+        let took = ready.elapsed();
+        assert!(took < within, "given up after {took:?}");
+    }
+}
--- a/standin/src/rough.rs
+++ b/standin/src/rough.rs
@@ -24,9 +24,33 @@
     Part(String, usize),
     /// Closes the connection.
     Closes,
+    /// Answers with this body and no length, and ends the connection.
+    Ends(String),
+    /// Answers with this body and no length, and resets the connection.
+    Resets(String),
+    /// Answers twice, in one write.
+    Twice(String, String),
 }
 
-/// An agent that does what it is told, call by call; when its script is at an end it keeps silent.
+/// A call that waits for its part of the script looks so often whether the router still waits for it.
+const LOOKS: Duration = Duration::from_millis(10);
+
+/// A number in a call's first line.
+fn number(line: &str, name: &str) -> Option<u64> {
+    let rest = line.split_once(name)?.1;
+    rest.split(|c: char| !c.is_ascii_digit()).next()?.parse().ok()
+}
+
+/// Whether the other side still waits: it has neither ended nor reset the connection.
+fn waits(connection: &TcpStream) -> bool {
+    let looked = connection.set_nonblocking(true).and_then(|()| connection.peek(&mut [0]));
+    let open =
+        matches!(looked, Err(ref e) if e.kind() == io::ErrorKind::WouldBlock) || matches!(looked, Ok(1..));
+    connection.set_nonblocking(false).is_ok() && open
+}
+
+/// An agent that does what it is told, call by call. When its script is at an end it holds calls, as agents do: a watch is
+/// answered with nothing new when its wait is over, and one for the whole list waits for what the script says next.
 pub struct Agent {
     address: SocketAddr,
     script: Arc<(Mutex<Vec<Says>>, Condvar)>,
@@ -113,12 +137,24 @@
                 let mut all = calls.lock().unwrap_or_else(PoisonError::into_inner);
                 all[place].said = Some(Instant::now());
             };
+            let version = number(&first, "after=").unwrap_or(0);
+            let until = number(&first, "wait_ms=").map(|ms| Instant::now() + Duration::from_millis(ms));
             let mut left = script.0.lock().unwrap_or_else(PoisonError::into_inner);
             let says = loop {
-                match left.pop() {
-                    Some(says) => break says,
-                    None => left = script.1.wait(left).unwrap_or_else(PoisonError::into_inner),
+                // What a router has given up takes nothing from those that it still waits for.
+                if !waits(&writer) {
+                    return Ok(());
+                }
+                if let Some(says) = left.pop() {
+                    break says;
                 }
+                if until.is_some_and(|until| until <= Instant::now()) {
+                    let nothing = serde_json::json!({"index": version, "snapshot": false, "endpoints": []});
+                    break Says::Body(nothing.to_string());
+                }
+                let over = until.map_or(LOOKS, |until| until.saturating_duration_since(Instant::now()));
+                let waited = script.1.wait_timeout(left, over.min(LOOKS));
+                left = waited.unwrap_or_else(PoisonError::into_inner).0;
             };
             drop(left);
             let head = |length: usize| format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
@@ -136,6 +172,21 @@
                     said();
                     return writer.shutdown(Shutdown::Both);
                 }
+                Says::Ends(body) => {
+                    write!(writer, "HTTP/1.1 200 OK\r\n\r\n{body}")?;
+                    said();
+                    return writer.shutdown(Shutdown::Both);
+                }
+                Says::Resets(body) => {
+                    write!(writer, "HTTP/1.1 200 OK\r\n\r\n{body}")?;
+                    said();
+                    // Closed with nothing lingering: a reset, once the last owner goes.
+                    return socket2::SockRef::from(&writer).set_linger(Some(Duration::ZERO));
+                }
+                Says::Twice(one, two) => {
+                    let both = [head(one.len()), one, head(two.len()), two].concat();
+                    writer.write_all(both.as_bytes())?;
+                }
                 Says::Nothing => {
                     said();
                     // Until the router gives the connection up.
