One check in the core says what may begin at a node, at its first byte

Cause: whether an attempt that waited may leave was asked of the module, which hears a list at the end of the turn, whose requests stay known while attempts are out although their client has gone, and which looks at the window of repeats only when it decides. Probes were not asked about at all.

Change: Core::may_begin, for attempts and for the router's own questions: the newest list (where dropped nodes stay open, only a drain binds, also after the entry has gone), the request still owed an answer, the window of repeats counted from the decision on the first attempt that may have run, and what the module says. Attempts not written whole are stopped as never sent in the next decision once their request is closed: client gone, answered by another copy, refused or failed, whether or not attempts may be cancelled. The tests of core.rs have a file of their own.

One test changed: "its slot comes back" held an attempt that was never written to be still out after its client had gone. That was the fault; it now writes the attempt whole first, and the unwritten one has a stricter test beside it.

--- a/core/src/core.rs
+++ b/core/src/core.rs
@@ -6,12 +6,16 @@
 
 use crate::{Deadlines, Due, Key, Table};
 use plovercove::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use tracing::{debug, info, warn};
 
 /// What may pass in a client's and our own buffers before a request is counted: its patience runs from its sending.
 const IN_BUFFERS: Span = 5_000;
 
+/// The names that are kept of nodes dropped while they drained: many times a fleet's. Beyond them attempts are still held
+/// back, by the module; only questions are not.
+const DRAINED_MOST: usize = 4096;
+
 /// One attempt of one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct AttemptId {
@@ -91,6 +95,11 @@
     attempts: Vec<Attempt>,
 }
 
+/// Whether what ended so may have had an effect.
+fn may_have_run(ending: Ending) -> bool {
+    !matches!(ending, Ending::Overloaded | Ending::Unreachable | Ending::Void | Ending::Missed)
+}
+
 /// The decisions, and the books that they are carried out by.
 pub struct Core {
     balancer: Balancer,
@@ -98,8 +107,14 @@
     requests: Table<Request>,
     /// What the list says of the nodes that it names.
     members: BTreeMap<NodeId, NodeEntry>,
+    /// Nodes that were dropped from the list while they drained, where dropping alone closes none.
+    dropped_draining: BTreeSet<NodeId>,
+    /// Only nodes listed as draining, not those dropped from the list, are closed to sends.
+    dropped_stay_open: bool,
     /// Discovery itself has spoken; before that all that is known is what was remembered.
     listed: bool,
+    /// Requests that are owed no answer any more, whose attempts may still wait for their first or last byte.
+    closed: Vec<Key>,
     events: Vec<Event>,
     actions: Vec<Action>,
     commands: Vec<Command>,
@@ -112,10 +127,13 @@
     pub fn new(settings: Settings, seed: u64) -> Self {
         Core {
             classes: settings.classes.clone(),
+            dropped_stay_open: settings.dropped_stay_open,
             balancer: Balancer::new(settings, seed),
             requests: Table::new(),
             members: BTreeMap::new(),
+            dropped_draining: BTreeSet::new(),
             listed: false,
+            closed: Vec::new(),
             events: Vec::new(),
             actions: Vec::new(),
             commands: Vec::new(),
@@ -174,20 +192,35 @@
     /// Discovery told something.
     pub fn list(&mut self, update: ListUpdate) {
         self.listed |= matches!(update, ListUpdate::Changes(_) | ListUpdate::Full(_));
-        if let ListUpdate::Full(_) | ListUpdate::Restored(_) = &update {
-            self.members.clear();
+        if let ListUpdate::Full(all) | ListUpdate::Restored(all) = &update {
+            let named: BTreeSet<&NodeId> = all.iter().map(|entry| &entry.node).collect();
+            let absent: Vec<NodeId> = self.members.keys().filter(|id| !named.contains(id)).cloned().collect();
+            absent.iter().for_each(|node| self.dropped(node));
         }
         if let ListUpdate::Changes(all) | ListUpdate::Full(all) | ListUpdate::Restored(all) = &update {
             for entry in all {
-                match entry.state {
-                    Listed::Gone => drop(self.members.remove(&entry.node)),
-                    _ => drop(self.members.insert(entry.node.clone(), entry.clone())),
+                if entry.state == Listed::Gone {
+                    self.dropped(&entry.node);
+                } else {
+                    self.dropped_draining.remove(&entry.node);
+                    self.members.insert(entry.node.clone(), entry.clone());
                 }
             }
         }
         self.events.push(Event::List(update));
     }
 
+    /// The list names a node no more. Where that closes no node, one that drained stays closed all the same.
+    fn dropped(&mut self, node: &NodeId) {
+        let drained = self.members.remove(node).is_some_and(|entry| entry.state == Listed::Draining);
+        if drained && self.dropped_stay_open {
+            self.dropped_draining.insert(node.clone());
+            if self.dropped_draining.len() > DRAINED_MOST {
+                self.dropped_draining.pop_first();
+            }
+        }
+    }
+
     /// Takes a request on. It is owed one final answer, through `Command::Answer` or `ended`.
     pub fn request(&mut self, origin: Key, mut demand: Demand) -> Key {
         let unsafe_to_repeat = self.classes[demand.class].effect == Effect::AtMostOnce;
@@ -213,10 +246,24 @@
     pub fn gone(&mut self, request: Key) {
         if self.requests.get_mut(request).is_some_and(|r| std::mem::take(&mut r.open)) {
             self.events.push(Event::Abandoned { request: request.number() });
+            self.closed.push(request);
             self.forget(request);
         }
     }
 
+    /// Stops what requests that are closed still wait to send. Danger: its connection may come up long after the client
+    /// has gone, and a db node would work for nobody. What was not written whole never ran.
+    fn stop_unwritten(&mut self, now: Time) {
+        for request in std::mem::take(&mut self.closed) {
+            let attempts = self.requests.get(request).map_or(&[][..], |r| &r.attempts);
+            let unwritten = attempts.iter().enumerate().filter(|(_, a)| a.out() && !a.written);
+            let unwritten: Vec<u32> = unwritten.map(|(number, _)| number as u32).collect();
+            for number in unwritten {
+                self.stop(AttemptId { request, number }, now, Ending::Cancelled, Ending::Void);
+            }
+        }
+    }
+
     /// The client wants it ended, and has been told that it is: what is out is stopped too.
     pub fn cancel(&mut self, request: Key, now: Time) {
         self.gone(request);
@@ -233,11 +280,42 @@
         }
     }
 
-    /// Whether an attempt that waited for its connection may still go out: the list and the age of the node's data
-    /// count at the moment when bytes leave, not at that of the decision.
+    /// Whether this attempt, or where there is none a question of the router's own, may begin at this node now. The one
+    /// check on every way to a node, at the moment of the first byte: the decision may be old by then. A list counts from
+    /// the moment when it was told, also before the module has heard of it; a request that is over is sent nowhere.
+    pub fn may_begin(&self, attempt: Option<AttemptId>, node: &NodeId, now: Time) -> bool {
+        let listed = match self.members.get(node) {
+            Some(entry) => entry.state == Listed::Serving,
+            None => self.dropped_stay_open && !self.dropped_draining.contains(node),
+        };
+        let waits = |id: AttemptId| {
+            let r = self.requests.get(id.request).filter(|r| r.open);
+            r.and_then(|r| r.attempts.get(id.number as usize)).is_some_and(|a| a.out() && a.node == *node)
+        };
+        let fits = |id: AttemptId| {
+            waits(id) && self.may_repeat(id, now) && self.balancer.still_fits(now, id.request.number(), node)
+        };
+        listed && attempt.is_none_or(fits)
+    }
+
+    /// Whether an attempt may run beside the others of its request that may have run by now. Their window is counted from
+    /// the decision on the first of them: its bytes left then, or later.
+    fn may_repeat(&self, id: AttemptId, now: Time) -> bool {
+        let Some(r) = self.requests.get(id.request) else { return false };
+        let class = &self.classes[r.class];
+        let others = r.attempts.iter().enumerate().filter(|(number, _)| *number != id.number as usize);
+        let first = others.filter(|(_, a)| a.ended.is_none_or(may_have_run)).map(|(_, a)| a.sent).min();
+        first.is_none_or(|first| match class.effect {
+            Effect::Idempotent => true,
+            Effect::Deduplicated => now < first + class.window,
+            Effect::AtMostOnce => false,
+        })
+    }
+
+    /// `may_begin` for an attempt at the node that it was decided for.
     pub fn still_fits(&self, id: AttemptId, now: Time) -> bool {
         let attempt = self.requests.get(id.request).and_then(|r| r.attempts.get(id.number as usize));
-        attempt.is_some_and(|a| self.balancer.still_fits(now, id.request.number(), &a.node))
+        attempt.is_some_and(|a| self.may_begin(Some(id), &a.node, now))
     }
 
     /// How long an attempt will be waited for from now on.
@@ -255,12 +333,13 @@
         attempt.ended = Some(ending);
         let elapsed = now.saturating_sub(attempt.sent);
         self.deadlines.remove(attempt.until, Due::Attempt(id));
-        let never =
-            matches!(ending, Ending::Overloaded | Ending::Unreachable | Ending::Void | Ending::Missed);
-        r.may_have_run |= !never;
+        r.may_have_run |= may_have_run(ending);
         let zone = self.members.get(&attempt.node).map_or("", |entry| &entry.zone);
         debug!(request = id.request.number(), attempt = id.number, node = %attempt.node, zone, reason = ending.word(), elapsed, "ended");
         let served = ending == Ending::Success && std::mem::take(&mut r.open);
+        if served {
+            self.closed.push(id.request);
+        }
         let (over, origin) = (!r.open, r.origin);
         let (request, attempt) = (id.request.number(), id.number);
         self.events.push(Event::Outcome { request, attempt, ending, elapsed, over, note, report });
@@ -305,6 +384,7 @@
 
     /// Lets the module decide on what has come since the last time; nothing where nothing has come.
     pub fn decide(&mut self, now: Time) -> Vec<Command> {
+        self.stop_unwritten(now);
         if !self.events.is_empty() {
             let mut actions = std::mem::take(&mut self.actions);
             self.balancer.handle(now, std::mem::take(&mut self.events), &mut actions);
@@ -312,6 +392,7 @@
                 self.act(action, now);
             }
             self.actions = actions;
+            self.stop_unwritten(now);
         }
         std::mem::take(&mut self.commands)
     }
@@ -380,6 +461,7 @@
             "given up"
         );
         self.commands.push(Command::Answer { request, origin: r.origin, answer });
+        self.closed.push(request);
         self.forget(request);
     }
 
@@ -392,98 +474,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    const NOW: Time = 1_000_000_000;
-
-    /// A core with one write on its way to the primary.
-    fn writing() -> (Core, AttemptId) {
-        let class = Class {
-            name: "book".into(),
-            access: Access::Write,
-            aim: 400_000,
-            aim_stretch: 0.0,
-            deadline: 5_000_000,
-            worth: 1.0,
-            late_worth: 0.0,
-            effect: Effect::AtMostOnce,
-            scope: RepeatScope::Group,
-            window: 0,
-            stream: false,
-        };
-        let mut core =
-            Core::new(Settings { classes: vec![class], may_cancel: true, ..Settings::default() }, 1);
-        let primary =
-            NodeEntry { node: "p".into(), primary: true, group: 1, weight: 1.0, ..NodeEntry::default() };
-        core.list(ListUpdate::Full(vec![primary]));
-        let demand = Demand { group: 1, left: 5_000_000, ..Demand::default() };
-        core.request(Key::from_number(7), demand);
-        let sent = core.decide(NOW).into_iter().find_map(|command| match command {
-            Command::Send { attempt, .. } => Some(attempt),
-            _ => None,
-        });
-        (core, sent.expect("the primary is known"))
-    }
-
-    fn answers(commands: &[Command]) -> Vec<Answer> {
-        let answer = |c: &Command| if let Command::Answer { answer, .. } = c { Some(*answer) } else { None };
-        commands.iter().filter_map(answer).collect()
-    }
-
-    #[test]
-    fn a_write_that_may_have_run_is_never_called_harmless() {
-        // Danger: the client would send it again, and a seat would be booked twice.
-        let (mut core, attempt) = writing();
-        core.written(attempt);
-        core.answer(attempt.request, Answer::Refused(None));
-        core.answer(attempt.request, Answer::Failed);
-        assert_eq!(answers(&core.commands), [Answer::Failed], "one answer, and no refusal");
-    }
-
-    #[test]
-    fn an_attempt_that_was_never_written_whole_did_not_run() {
-        let (mut core, attempt) = writing();
-        core.timed_out(attempt, NOW + 400_000);
-        let ended = core.events.iter().find_map(|event| match event {
-            Event::Outcome { ending, .. } => Some(*ending),
-            _ => None,
-        });
-        assert_eq!(ended, Some(Ending::Unreachable));
-        assert!(matches!(core.commands[..], [Command::GiveUp { .. }]));
-    }
-
-    #[test]
-    fn a_client_that_has_gone_is_owed_nothing_and_its_slot_comes_back() {
-        let (mut core, attempt) = writing();
-        core.gone(attempt.request);
-        assert_eq!((answers(&core.decide(NOW + 1)).len(), core.held()), (0, 1), "its attempt is still out");
-        let said = Standing::default();
-        assert_eq!(core.ended(NOW + 2, attempt, Ending::Success, said, said), None);
-        assert_eq!(core.held(), 0);
-    }
-
-    #[test]
-    fn what_is_cancelled_is_stopped_and_answered_no_more() {
-        // Danger: a db node would go on with what nobody waits for, and its answer would come as a second one.
-        let (mut core, attempt) = writing();
-        core.written(attempt);
-        core.cancel(attempt.request, NOW + 1);
-        let commands = core.decide(NOW + 1);
-        assert!(matches!(commands[..], [Command::GiveUp { attempt: stopped, .. }] if stopped == attempt));
-        assert_eq!((answers(&core.decide(NOW + 2)).len(), core.held()), (0, 0));
-    }
-
-    #[test]
-    fn what_the_list_no_longer_names_is_forgotten() {
-        // Danger: each replaced node would leave something behind, and its group would be asked for in vain.
-        let mut core = writing().0;
-        let listed = |state| NodeEntry { node: "r".into(), group: 2, state, ..NodeEntry::default() };
-        core.list(ListUpdate::Changes(vec![listed(Listed::Serving)]));
-        assert!(core.knows_group(1) && core.knows_group(2));
-        core.list(ListUpdate::Changes(vec![listed(Listed::Gone)]));
-        assert!(core.knows_group(1) && !core.knows_group(2));
-        core.list(ListUpdate::Full(vec![listed(Listed::Serving)]));
-        assert_eq!(core.members.len(), 1, "a whole list replaces what was known");
-    }
-}
+mod tests;
--- /dev/null
+++ b/core/src/core/tests.rs
@@ -0,0 +1,229 @@
+//! Whether the books hold what no decision may break.
+
+use super::*;
+
+const NOW: Time = 1_000_000_000;
+
+/// A core with one write on its way to the primary.
+fn writing() -> (Core, AttemptId) {
+    let class = Class {
+        name: "book".into(),
+        access: Access::Write,
+        aim: 400_000,
+        aim_stretch: 0.0,
+        deadline: 5_000_000,
+        worth: 1.0,
+        late_worth: 0.0,
+        effect: Effect::AtMostOnce,
+        scope: RepeatScope::Group,
+        window: 0,
+        stream: false,
+    };
+    let mut core = Core::new(Settings { classes: vec![class], may_cancel: true, ..Settings::default() }, 1);
+    let primary =
+        NodeEntry { node: "p".into(), primary: true, group: 1, weight: 1.0, ..NodeEntry::default() };
+    core.list(ListUpdate::Full(vec![primary]));
+    let demand = Demand { group: 1, left: 5_000_000, ..Demand::default() };
+    core.request(Key::from_number(7), demand);
+    let sent = core.decide(NOW).into_iter().find_map(|command| match command {
+        Command::Send { attempt, .. } => Some(attempt),
+        _ => None,
+    });
+    (core, sent.expect("the primary is known"))
+}
+
+fn answers(commands: &[Command]) -> Vec<Answer> {
+    let answer = |c: &Command| if let Command::Answer { answer, .. } = c { Some(*answer) } else { None };
+    commands.iter().filter_map(answer).collect()
+}
+
+#[test]
+fn a_write_that_may_have_run_is_never_called_harmless() {
+    // Danger: the client would send it again, and a seat would be booked twice.
+    let (mut core, attempt) = writing();
+    core.written(attempt);
+    core.answer(attempt.request, Answer::Refused(None));
+    core.answer(attempt.request, Answer::Failed);
+    assert_eq!(answers(&core.commands), [Answer::Failed], "one answer, and no refusal");
+}
+
+#[test]
+fn an_attempt_that_was_never_written_whole_did_not_run() {
+    let (mut core, attempt) = writing();
+    core.timed_out(attempt, NOW + 400_000);
+    let ended = core.events.iter().find_map(|event| match event {
+        Event::Outcome { ending, .. } => Some(*ending),
+        _ => None,
+    });
+    assert_eq!(ended, Some(Ending::Unreachable));
+    assert!(matches!(core.commands[..], [Command::GiveUp { .. }]));
+}
+
+#[test]
+fn a_client_that_has_gone_is_owed_nothing_and_its_slot_comes_back() {
+    let (mut core, attempt) = writing();
+    core.written(attempt);
+    core.gone(attempt.request);
+    assert_eq!((answers(&core.decide(NOW + 1)).len(), core.held()), (0, 1), "its attempt is still out");
+    let said = Standing::default();
+    assert_eq!(core.ended(NOW + 2, attempt, Ending::Success, said, said), None);
+    assert_eq!(core.held(), 0);
+}
+
+#[test]
+fn what_is_cancelled_is_stopped_and_answered_no_more() {
+    // Danger: a db node would go on with what nobody waits for, and its answer would come as a second one.
+    let (mut core, attempt) = writing();
+    core.written(attempt);
+    core.cancel(attempt.request, NOW + 1);
+    let commands = core.decide(NOW + 1);
+    assert!(matches!(commands[..], [Command::GiveUp { attempt: stopped, .. }] if stopped == attempt));
+    assert_eq!((answers(&core.decide(NOW + 2)).len(), core.held()), (0, 0));
+}
+
+#[test]
+fn what_the_list_no_longer_names_is_forgotten() {
+    // Danger: each replaced node would leave something behind, and its group would be asked for in vain.
+    let mut core = writing().0;
+    let listed = |state| NodeEntry { node: "r".into(), group: 2, state, ..NodeEntry::default() };
+    core.list(ListUpdate::Changes(vec![listed(Listed::Serving)]));
+    assert!(core.knows_group(1) && core.knows_group(2));
+    core.list(ListUpdate::Changes(vec![listed(Listed::Gone)]));
+    assert!(core.knows_group(1) && !core.knows_group(2));
+    core.list(ListUpdate::Full(vec![listed(Listed::Serving)]));
+    assert_eq!(core.members.len(), 1, "a whole list replaces what was known");
+}
+
+fn listed(node: &str, state: Listed) -> NodeEntry {
+    NodeEntry {
+        node: node.into(),
+        primary: node == "p",
+        group: 1,
+        weight: 1.0,
+        state,
+        ..NodeEntry::default()
+    }
+}
+
+#[test]
+fn a_list_binds_from_the_moment_it_is_told_and_not_from_the_next_decision() {
+    // Danger: a connection comes up in the turn that told of the leaving, and carries what was decided before.
+    for update in [
+        ListUpdate::Changes(vec![listed("p", Listed::Draining)]),
+        ListUpdate::Changes(vec![listed("p", Listed::Gone)]),
+        ListUpdate::Full(vec![listed("r", Listed::Serving)]),
+    ] {
+        let (mut core, attempt) = writing();
+        assert!(core.may_begin(Some(attempt), &"p".into(), NOW + 1) && core.still_fits(attempt, NOW + 1));
+        core.list(update.clone());
+        assert!(!core.still_fits(attempt, NOW + 1), "an attempt after {update:?}");
+        assert!(!core.may_begin(None, &"p".into(), NOW + 1), "a question after {update:?}");
+        core.decide(NOW + 1);
+        assert!(!core.still_fits(attempt, NOW + 2), "an attempt once the module has heard {update:?}");
+    }
+}
+
+#[test]
+fn a_node_that_leaves_and_comes_back_under_its_name_is_asked_again() {
+    let (mut core, attempt) = writing();
+    core.list(ListUpdate::Changes(vec![listed("p", Listed::Draining)]));
+    core.list(ListUpdate::Changes(vec![listed("p", Listed::Serving)]));
+    core.decide(NOW + 1);
+    assert!(core.still_fits(attempt, NOW + 1) && core.may_begin(None, &"p".into(), NOW + 1));
+}
+
+#[test]
+fn a_new_process_is_bound_by_the_list_it_was_given_from_its_first_moment() {
+    let mut core = Core::new(Settings::default(), 1);
+    core.list(ListUpdate::Restored(vec![listed("p", Listed::Draining), listed("r", Listed::Serving)]));
+    assert!(!core.may_begin(None, &"p".into(), NOW) && core.may_begin(None, &"r".into(), NOW));
+    assert!(!core.may_begin(None, &"unknown".into(), NOW));
+}
+
+#[test]
+fn where_dropped_nodes_stay_open_only_a_drain_closes_one_and_outlives_its_entry() {
+    let settings = Settings { dropped_stay_open: true, ..Settings::default() };
+    let mut core = Core::new(settings, 1);
+    core.list(ListUpdate::Full(vec![listed("p", Listed::Serving), listed("r", Listed::Serving)]));
+    core.list(ListUpdate::Full(vec![listed("p", Listed::Draining)]));
+    assert!(core.may_begin(None, &"r".into(), NOW), "it was dropped, and never drained");
+    core.list(ListUpdate::Changes(vec![listed("p", Listed::Gone)]));
+    assert!(!core.may_begin(None, &"p".into(), NOW), "it drained before it was dropped");
+    core.decide(NOW);
+    assert!(!core.may_begin(None, &"p".into(), NOW + 1), "it drained before it was dropped");
+    core.list(ListUpdate::Changes(vec![listed("p", Listed::Serving)]));
+    assert!(core.may_begin(None, &"p".into(), NOW + 1));
+}
+
+/// The attempts that these commands stop.
+fn stopped(commands: &[Command]) -> Vec<AttemptId> {
+    let stop = |c: &Command| if let Command::GiveUp { attempt, .. } = c { Some(*attempt) } else { None };
+    commands.iter().filter_map(stop).collect()
+}
+
+#[test]
+fn what_waits_for_its_connection_is_stopped_when_its_client_goes() {
+    // Danger: connections come up as late as 1.5 s after the client has gone, and the request was sent on then.
+    let (mut core, attempt) = writing();
+    core.gone(attempt.request);
+    assert!(!core.still_fits(attempt, NOW + 1), "not even before the next decision");
+    let commands = core.decide(NOW + 1);
+    assert_eq!((stopped(&commands), core.held()), (vec![attempt], 0));
+    assert!(core.decide(NOW + 2).is_empty(), "it is stopped once");
+}
+
+#[test]
+fn what_waits_for_its_connection_is_stopped_when_its_request_is_answered_otherwise() {
+    // Danger: where attempts may not be cancelled the module leaves them, and a refused write would run all the same.
+    for answer in [Answer::Refused(None), Answer::Failed] {
+        let (mut core, attempt) = writing();
+        core.answer(attempt.request, answer);
+        assert!(!core.still_fits(attempt, NOW + 1));
+        let commands = core.decide(NOW + 1);
+        assert_eq!((answers(&commands), stopped(&commands)), (vec![answer], vec![attempt]));
+        assert_eq!(core.held(), 0);
+    }
+    let (mut core, attempt) = writing();
+    core.written(attempt);
+    core.answer(attempt.request, Answer::Failed);
+    assert_eq!(stopped(&core.decide(NOW + 1)), [], "what has been written whole is left to its end");
+}
+
+/// A write of this effect with a window of 300 ms, whose first attempt has been written, and a second one.
+fn repeated(effect: Effect) -> (Core, AttemptId) {
+    let (mut core, first) = writing();
+    core.classes[0].effect = effect;
+    core.classes[0].window = 300_000;
+    core.written(first);
+    core.send(first.request, "p".into(), NOW + 100_000, 900_000);
+    (core, AttemptId { number: 1, ..first })
+}
+
+#[test]
+fn a_repeat_begins_only_while_the_window_of_the_first_attempt_is_open() {
+    // Danger: decided within the window, it left with its connection, which came up after the window had closed.
+    let (core, second) = repeated(Effect::Deduplicated);
+    assert!(core.still_fits(second, NOW + 299_999) && !core.still_fits(second, NOW + 300_000));
+    let (core, second) = repeated(Effect::Idempotent);
+    assert!(core.still_fits(second, NOW + 300_000));
+    let (core, second) = repeated(Effect::AtMostOnce);
+    assert!(!core.still_fits(second, NOW + 100_001));
+}
+
+#[test]
+fn an_attempt_that_never_ran_opens_no_window() {
+    let (mut core, second) = repeated(Effect::Deduplicated);
+    let said = Standing::default();
+    core.ended(NOW + 1, AttemptId { number: 0, ..second }, Ending::Unreachable, said, said);
+    assert!(core.still_fits(second, NOW + 300_000));
+}
+
+#[test]
+fn an_answer_stops_the_copy_that_has_not_left() {
+    let (mut core, second) = repeated(Effect::Idempotent);
+    let said = Standing::default();
+    let first = AttemptId { number: 0, ..second };
+    assert!(core.ended(NOW + 200_000, first, Ending::Success, said, said).is_some());
+    assert!(!core.still_fits(second, NOW + 200_001));
+    assert_eq!((stopped(&core.decide(NOW + 200_001)), core.held()), (vec![second], 0));
+}
