Connections to nodes ask the one check before each first byte, and end where a node moves

Cause: a job put on an idle connection was not checked, a probe never; a connection that came up in the turn that told of the leaving was checked by the old list. A connection under way to a node's old address, or busy there, went on to carry requests for its new one.

Change: Upstream asks Core::may_begin for each job, whatever way it comes, right before its bytes are put, and again where the system took none of them at first. When a node moves, connections under way end and are dialled anew, those at work are closed after it, and no cancel goes to the new address with the old key. A watch's question to a node that no list names does not leave any more; the test of leases in router/tests/duties.rs names its node first, and checks what it did.

--- a/router/src/net/stream.rs
+++ b/router/src/net/stream.rs
@@ -118,6 +118,11 @@
         self.output.len() - self.written
     }
 
+    /// Whether nothing of what is to go has left yet.
+    pub fn untouched(&self) -> bool {
+        self.written == 0
+    }
+
     /// Writes what it can; true once nothing is left.
     pub fn flush(&mut self) -> Result<bool, Peer> {
         while self.written < self.output.len() {
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -255,6 +255,7 @@
             debug!(node = %entry.node, group = entry.group, state = ?entry.state, primary = entry.primary, "listed");
             if let Some(address) = address {
                 self.upstream.locate(&entry.node, address, &mut self.core);
+                self.upstream.redial(&entry.node, now, &mut self.core);
             }
             if entry.state != Listed::Serving {
                 self.upstream.retire(&entry.node, entry.state == Listed::Gone, &mut self.core);
--- a/router/src/upstream/pg.rs
+++ b/router/src/upstream/pg.rs
@@ -40,9 +40,14 @@
 }
 
 impl Job {
-    /// Whether it may not leave any more: its router has lost the watch since it asked for a connection.
-    fn late(&self) -> bool {
-        matches!(self, Job::Watch(_, look) if !look())
+    /// Whether it may begin at this node now, when its first byte is about to leave.
+    fn may_begin(&self, node: &NodeId, now: Time, core: &Core) -> bool {
+        match self {
+            Job::Attempt(id, _) => core.may_begin(Some(*id), node, now),
+            Job::Probe(_) => core.may_begin(None, node, now),
+            // Its router may have lost the watch since it asked for a connection.
+            Job::Watch(_, look) => core.may_begin(None, node, now) && look(),
+        }
     }
 }
 
@@ -59,6 +64,8 @@
 struct Backend {
     stream: Stream,
     node: NodeId,
+    /// Where the node was when it was dialled.
+    address: SocketAddr,
     state: State,
     expires: Option<Time>,
     idle_since: Time,
@@ -165,15 +172,36 @@
         std::mem::take(&mut self.heard)
     }
 
-    /// Discovery says where a node is now; connections to where it was are no good.
+    /// Discovery says where a node is now; connections to where it was are no good. Danger: what is there now may be
+    /// another node. Those at work are closed after it; those under way end, and what waits for them is `redial`'s.
     pub fn locate(&mut self, node: &NodeId, address: SocketAddr, core: &mut Core) {
         let known = self.nodes.entry(node.clone()).or_default();
         known.gone = false;
-        if known.address.replace(address).is_some_and(|old| old != address) {
-            self.close_idle(node, core);
+        if known.address.replace(address).is_none_or(|old| old == address) {
+            return;
+        }
+        self.close_idle(node, core);
+        let coming = |b: &Backend| b.node == *node && matches!(b.state, State::Dialing | State::Greeting(_));
+        let coming: Vec<Key> = self.backends.iter().filter(|(_, b)| coming(b)).map(|(key, _)| key).collect();
+        for key in coming {
+            self.drop_backend(key, core);
         }
     }
 
+    /// Dials for what waits at a node and has no connection under way any more.
+    pub fn redial(&mut self, node: &NodeId, now: Time, core: &mut Core) {
+        while self.nodes.get(node).is_some_and(|n| n.waiting.len() > n.coming) {
+            if self.dial(node, now, core).is_err() {
+                self.dial_failed(node, Ending::Unreachable, now, core);
+            }
+        }
+    }
+
+    /// Whether a connection leads to where its node is now.
+    fn in_place(&self, backend: &Backend) -> bool {
+        self.nodes.get(&backend.node).is_some_and(|node| node.address == Some(backend.address))
+    }
+
     /// A node is to get nothing new; one that is gone is forgotten in time.
     pub fn retire(&mut self, node: &NodeId, gone: bool, core: &mut Core) {
         self.close_idle(node, core);
@@ -248,11 +276,11 @@
     fn start(&mut self, job: Job, id: &NodeId, now: Time, core: &mut Core) {
         while let Some(key) = self.nodes.get_mut(id).and_then(|n| n.idle.pop()) {
             if self.backends.get(key).is_some_and(|b| b.stream.quiet()) {
-                if job.late() {
+                if let Err(job) = self.occupy(key, job, now, core) {
                     self.nodes.get_mut(id).expect("looked up above").idle.push(key);
-                    return self.fail(job, id, Ending::Void, now, core);
+                    self.fail(job, id, Ending::Void, now, core);
                 }
-                return self.occupy(key, job, now, core);
+                return;
             }
             self.drop_backend(key, core);
         }
@@ -287,7 +315,15 @@
             let at = poll_key(Source::Backend, Some(key));
             let stream = Stream::new(poll, budget, socket, at, Interest::Write, LONGEST)?;
             let node = id.clone();
-            Ok::<_, io::Error>(Backend { stream, node, state, expires: None, idle_since: now, key: None })
+            Ok::<_, io::Error>(Backend {
+                stream,
+                node,
+                address,
+                state,
+                expires: None,
+                idle_since: now,
+                key: None,
+            })
         })?;
         let backend = self.backends.get_mut(key).expect("just made");
         core.deadlines.set(&mut backend.expires, Due::Backend(key), Some(now + self.dial_timeout));
@@ -314,9 +350,12 @@
         }
     }
 
-    /// Puts a job on a connection that is ready.
-    fn occupy(&mut self, key: Key, job: Job, now: Time, core: &mut Core) {
-        let Some(backend) = self.backends.get_mut(key) else { return };
+    /// Puts a job on a connection that is ready; gives it back where it may not begin.
+    fn occupy(&mut self, key: Key, job: Job, now: Time, core: &mut Core) -> Result<(), Job> {
+        let Some(backend) = self.backends.get_mut(key) else { return Err(job) };
+        if !job.may_begin(&backend.node, now, core) {
+            return Err(job);
+        }
         let mut shape = Shape::OneValue;
         let expires = match &job {
             Job::Attempt(id, statement) => {
@@ -335,10 +374,22 @@
         core.deadlines.set(&mut backend.expires, Due::Backend(key), expires);
         backend.state = State::Busy(job, Reply::new(&self.budget, shape), false);
         self.write(key, now, core);
+        Ok(())
     }
 
     fn write(&mut self, key: Key, now: Time, core: &mut Core) {
         let Some(backend) = self.backends.get_mut(key) else { return };
+        // The system may have held all of it back until now: then it begins now.
+        if let State::Busy(job, _, false) = &backend.state
+            && backend.stream.untouched()
+            && !job.may_begin(&backend.node, now, core)
+        {
+            let node = backend.node.clone();
+            if let Some(job) = self.drop_backend(key, core) {
+                self.fail(job, &node, Ending::Void, now, core);
+            }
+            return;
+        }
         match backend.stream.flush() {
             Ok(done) => {
                 if let State::Busy(job, _, written) = &mut backend.state
@@ -540,6 +591,7 @@
                 // It answered what it has not been sent whole, or says more than belongs to its answer: the next
                 // request would be given what is no answer to it.
                 let unfit = !again || !written || !backend.stream.unread().is_empty();
+                let unfit = unfit || !self.backends.get(key).is_some_and(|b| self.in_place(b));
                 self.finish(job, reply, &id, now, core);
                 if unfit {
                     debug!(node = %id, "a connection that says too much ends");
@@ -561,12 +613,9 @@
                 self.drop_backend(key, core);
                 return self.dial_failed(id, Ending::Unreachable, now, core);
             }
-            match job {
-                Job::Attempt(attempt, _) if !core.still_fits(attempt, now) => {
-                    self.fail(job, id, Ending::Void, now, core);
-                }
-                job if job.late() => self.fail(job, id, Ending::Void, now, core),
-                job => return self.occupy(key, job, now, core),
+            match self.occupy(key, job, now, core) {
+                Ok(()) => return,
+                Err(job) => self.fail(job, id, Ending::Void, now, core),
             }
         }
         let (Some(node), Some(backend)) = (self.nodes.get_mut(id), self.backends.get_mut(key)) else {
@@ -581,7 +630,11 @@
     pub fn give_up(&mut self, id: AttemptId, node: &NodeId, now: Time, core: &mut Core) {
         if let Some(&key) = self.running.get(&id) {
             let wish = self.backends.get(key).filter(|b| matches!(b.state, State::Busy(_, _, true)));
-            let wish = wish.and_then(|b| b.key.clone()).filter(|_| self.manners.cancels);
+            // Danger: at another address it would name a stranger's work.
+            let wish = wish
+                .filter(|b| self.in_place(b))
+                .and_then(|b| b.key.clone())
+                .filter(|_| self.manners.cancels);
             self.drop_backend(key, core);
             if let Some(key) = wish.filter(|_| self.cancelling < CANCELS) {
                 let mut packet = Vec::new();
--- a/router/tests/duties.rs
+++ b/router/tests/duties.rs
@@ -1,7 +1,7 @@
 //! Duties of a fleet, with processes of the program: one owner for each, what nodes are spared, and what becomes of it when
 //! owners and deciders fail.
 
-use plovercove::{NodeId, Settings};
+use plovercove::{ListUpdate, NodeEntry, NodeId, Settings};
 use plovercove_core::Core;
 use plovercove_poller::{Events, Poll};
 use plovercove_router::chores::Ask;
@@ -367,6 +367,8 @@
     let mut core = Core::new(Settings::default(), 1);
     let id: NodeId = "s0".into();
     upstream.locate(&id, node.address(), &mut core);
+    // What no list names is asked nothing.
+    core.list(ListUpdate::Full(vec![NodeEntry { node: id.clone(), ..NodeEntry::default() }]));
     let mut events = Events::new();
     // The first finds no connection, the last one that is free.
     for (may, asked) in [(false, 0), (true, 1), (false, 1)] {
--- /dev/null
+++ b/router/tests/standing_nodes.rs
@@ -0,0 +1,168 @@
+//! What reaches db nodes, and what must not: the first byte of a request is held back by the test until the crossing that it
+//! names has come about.
+
+#[allow(dead_code, reason = "each test of the standing test uses a part of it")]
+mod standing_fleet;
+
+use plovercove_standin::process::{Blow, Folder, Process};
+use plovercove_standin::rough::{Agent, Manner, Node, Says};
+use plovercove_standin::{Caller, Fate, held};
+use serde_json::Value;
+use standing_fleet::{HANGS, Start, ask, group, listing, with_status};
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+/// Between two looks at what tells nobody of itself.
+const LOOKS: Duration = Duration::from_millis(2);
+
+/// A router before a primary that waits to be told, and two replicas that serve.
+struct Scene {
+    router: Process,
+    agent: Agent,
+    primary: held::Node,
+    entries: Vec<Value>,
+    _others: Vec<Node>,
+    _folder: Folder,
+}
+
+fn at(entries: &[Value], node: usize, address: SocketAddr) -> Vec<Value> {
+    let mut changed = entries.to_vec();
+    changed[node]["address"] = address.to_string().into();
+    changed
+}
+
+impl Scene {
+    fn new(name: &str) -> Self {
+        let (others, entries) = group([Manner::Good; 3]);
+        let primary = held::Node::start(HANGS).expect("a node");
+        let entries = at(&entries, 0, primary.address().expect("bound"));
+        let agent = Agent::start(vec![Says::Body(listing(42, &entries))]).expect("an agent");
+        let start = Start::before(name, &agent, &entries);
+        // A connection that is held back here is no slow one.
+        let config = start.config(&start.agent).replace("\"DialTimeout\":250000", "\"DialTimeout\":30000000");
+        assert!(config.contains("30000000"), "{config}");
+        let folder = Folder::new(name).expect("a folder");
+        let file = folder.write("config.json", &config).expect("a file");
+        let program = Path::new(env!("CARGO_BIN_EXE_plovercove"));
+        let router = Process::start(program, &file, |command| command.env("PROXY_LOG", "debug"))
+            .expect("the router starts");
+        assert!(agent.called(2, HANGS), "the list is followed");
+        Scene { router, agent, primary, entries, _others: others, _folder: folder }
+    }
+
+    /// A client that asks for one write; its connection to the primary is up, and has not been greeted.
+    fn writing(&self, id: &str) -> (JoinHandle<Fate>, held::Link) {
+        let client = self.asks(id);
+        (client, self.primary.accept(HANGS).expect("the write's connection"))
+    }
+
+    fn asks(&self, id: &str) -> JoinHandle<Fate> {
+        let (listen, id) = (self.router.listen(), id.to_string());
+        std::thread::spawn(move || ask(&mut Caller::new(listen), &id, "book"))
+    }
+
+    /// The agent tells this list, and the router has taken it in.
+    fn told(&self, index: u64, entries: &[Value]) {
+        let calls = self.agent.calls().len();
+        self.agent.then(Says::Body(listing(index, entries)));
+        assert!(self.agent.called(calls + 1, HANGS), "{:?}", self.router.lines());
+    }
+
+    /// Stops the router, and returns once it stands still.
+    fn stop(&mut self) {
+        self.router.strike(Blow::Stop);
+        let until = Instant::now() + HANGS;
+        let stat = format!("/proc/{}/stat", self.router.id());
+        let still = || {
+            std::fs::read_to_string(&stat)
+                .is_ok_and(|s| s.rsplit(") ").next().is_some_and(|s| s.starts_with('T')))
+        };
+        while !still() {
+            assert!(Instant::now() < until, "it does not stand still");
+            std::thread::sleep(LOOKS);
+        }
+    }
+}
+
+#[test]
+fn a_connection_that_comes_up_in_the_turn_that_tells_of_the_leaving_carries_nothing() {
+    // Danger: the module hears a list at the end of the turn, and what came up before then went by the old one.
+    let mut scene = Scene::new("nodes-leaving");
+    let (client, mut link) = scene.writing("a1");
+    scene.stop();
+    let call = scene.agent.calls().len() - 1;
+    // Whole, in one write: the system would hold back what follows the head of two.
+    scene.agent.then(Says::Part(listing(43, &with_status(&scene.entries, 0, "leaving")), usize::MAX));
+    let until = Instant::now() + HANGS;
+    while scene.agent.times()[call].1.is_none() {
+        assert!(Instant::now() < until, "the agent has not said it");
+        std::thread::sleep(LOOKS);
+    }
+    link.greet("primary").expect("the router is there");
+    scene.router.strike(Blow::Continue);
+    client.join().expect("a client");
+    assert_eq!(
+        link.has_come().expect("a socket"),
+        None,
+        "it was told of the leaving before the first byte: {:#?}",
+        scene.router.lines()
+    );
+}
+
+#[test]
+fn who_has_gone_before_the_connection_comes_up_is_not_sent_on() {
+    let scene = Scene::new("nodes-gone");
+    let mut client = TcpStream::connect(scene.router.listen()).expect("it listens");
+    let text = standing_fleet::statement("a1", "book");
+    let length = (text.len() as u32 + 5).to_be_bytes();
+    let asks = [b"\0\0\0\x11\0\x03\0\0user\0me\0\0Q", &length[..], text.as_bytes(), b"\0"].concat();
+    client.write_all(&asks).expect("it reads");
+    let mut link = scene.primary.accept(HANGS).expect("the write's connection");
+    drop(client);
+    // What is asked after it has gone is taken on after it has.
+    assert_eq!(ask(&mut Caller::new(scene.router.listen()), "a2", "look"), Fate::Served);
+    link.greet("primary").expect("the router is there");
+    let next = scene.asks("a3");
+    assert_eq!(link.statement().expect("a statement").as_deref(), Some("a3"));
+    link.answer("a3").expect("the router is there");
+    assert_eq!(next.join().expect("a client"), Fate::Served);
+}
+
+#[test]
+fn what_waits_for_a_node_that_moves_goes_to_where_it_is_now() {
+    // Danger: by then another node may have the address.
+    let scene = Scene::new("nodes-moved-coming");
+    let (client, mut link) = scene.writing("a1");
+    let moved = held::Node::start(HANGS).expect("a node");
+    scene.told(43, &at(&scene.entries, 0, moved.address().expect("bound")));
+    // The router may have closed it by now.
+    let _ = link.greet("primary");
+    let mut there = moved.accept(HANGS).expect("the write's connection");
+    there.greet("primary").expect("the router is there");
+    assert_eq!(there.statement().expect("a statement").as_deref(), Some("a1"));
+    there.answer("a1").expect("the router is there");
+    assert_eq!(client.join().expect("a client"), Fate::Served);
+    assert_eq!(link.statement().expect("closed"), None);
+}
+
+#[test]
+fn a_connection_at_work_where_its_node_was_is_closed_after_it() {
+    let scene = Scene::new("nodes-moved-busy");
+    let (client, mut link) = scene.writing("a1");
+    link.greet("primary").expect("the router is there");
+    assert_eq!(link.statement().expect("a statement").as_deref(), Some("a1"));
+    let moved = held::Node::start(HANGS).expect("a node");
+    scene.told(43, &at(&scene.entries, 0, moved.address().expect("bound")));
+    link.answer("a1").expect("the router is there");
+    assert_eq!(client.join().expect("a client"), Fate::Served);
+    let next = scene.asks("a2");
+    assert_eq!(link.statement().expect("closed"), None, "it carries nothing more");
+    let mut there = moved.accept(HANGS).expect("the write's connection");
+    there.greet("primary").expect("the router is there");
+    assert_eq!(there.statement().expect("a statement").as_deref(), Some("a2"));
+    there.answer("a2").expect("the router is there");
+    assert_eq!(next.join().expect("a client"), Fate::Served);
+}
--- /dev/null
+++ b/standin/src/held.rs
@@ -0,0 +1,96 @@
+//! A db node that does nothing by itself: a test takes its connections in, and says when each greets and answers.
+
+use crate::wire;
+use std::io::{self, ErrorKind};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::Duration;
+
+/// A db node that waits to be told.
+pub struct Node(TcpListener);
+
+impl Node {
+    /// A node that listens; what waits for it longer than this ends the test.
+    ///
+    /// # Errors
+    /// No port could be had.
+    pub fn start(hangs: Duration) -> io::Result<Self> {
+        let listener = TcpListener::bind(("127.0.0.1", 0))?;
+        // On this system the time-out of reads is that of accepting too.
+        socket2::SockRef::from(&listener).set_read_timeout(Some(hangs))?;
+        Ok(Node(listener))
+    }
+
+    /// Where it listens.
+    ///
+    /// # Errors
+    /// The system does not tell.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.0.local_addr()
+    }
+
+    /// Takes the next connection in, with what the router says first. It has not been greeted.
+    ///
+    /// # Errors
+    /// None came.
+    pub fn accept(&self, hangs: Duration) -> io::Result<Link> {
+        let (mut stream, _) = self.0.accept()?;
+        stream.set_read_timeout(Some(hangs))?;
+        stream.set_nodelay(true)?;
+        wire::startup(&mut stream)?;
+        Ok(Link(stream))
+    }
+}
+
+/// One connection of the router's.
+pub struct Link(TcpStream);
+
+impl Link {
+    /// Welcomes the router as this role.
+    ///
+    /// # Errors
+    /// The router has gone.
+    pub fn greet(&mut self, role: &str) -> io::Result<()> {
+        let mut out = Vec::new();
+        wire::put(&mut out, b'R', &[0; 4]);
+        wire::put_status(&mut out, "replication_role", role);
+        wire::put_ready(&mut out);
+        io::Write::write_all(&mut self.0, &out)
+    }
+
+    /// The id of the next statement; none at the end of the connection.
+    ///
+    /// # Errors
+    /// Nothing comes, and the connection stays open.
+    pub fn statement(&mut self) -> io::Result<Option<String>> {
+        let text = match wire::statement(&mut self.0) {
+            Err(e) if matches!(e.kind(), ErrorKind::UnexpectedEof | ErrorKind::ConnectionReset) => {
+                return Ok(None);
+            }
+            read => read?,
+        };
+        Ok(text.map(|text| wire::label(&text, "id").map_or(text.clone(), str::to_string)))
+    }
+
+    /// The id of a statement that has come by now, if one has.
+    ///
+    /// # Errors
+    /// The time-out can't be set.
+    pub fn has_come(&mut self) -> io::Result<Option<String>> {
+        let mut byte = [0];
+        self.0.set_nonblocking(true)?;
+        let come = self.0.peek(&mut byte);
+        self.0.set_nonblocking(false)?;
+        if matches!(come, Ok(1)) { self.statement() } else { Ok(None) }
+    }
+
+    /// Answers the statement that came with its own id.
+    ///
+    /// # Errors
+    /// The router has gone.
+    pub fn answer(&mut self, id: &str) -> io::Result<()> {
+        let mut out = Vec::new();
+        wire::put_row(&mut out, id.as_bytes());
+        wire::put_ready(&mut out);
+        io::Write::write_all(&mut self.0, &out)
+    }
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -5,6 +5,7 @@
 mod agent;
 mod client;
 mod fleet;
+pub mod held;
 pub mod links;
 mod node;
 pub mod old;
