Odd ends of a node's answer are held to its attempt, and a test stops the router between turns

Four crossings that turn out harmless, each with its test: an error without ReadyForQuery and then silence, half a message and then silence, an answer that never ends, a reset after the last byte. Each client is told in time that nothing is promised, the connection ends, the next write is served.

--- a/router/tests/standing_nodes.rs
+++ b/router/tests/standing_nodes.rs
@@ -71,17 +71,24 @@
         assert!(self.agent.called(calls + 1, HANGS), "{:?}", self.router.lines());
     }
 
-    /// Stops the router, and returns once it stands still.
+    /// Stops the router while it waits, and returns once it stands still. Stopped amid a turn it would go on with what was
+    /// ready then, and read the list in the next one.
     fn stop(&mut self) {
+        self.comes_to('S');
         self.router.strike(Blow::Stop);
+        self.comes_to('T');
+    }
+
+    /// Waits for this state of the router's process, as the system names it.
+    fn comes_to(&self, state: char) {
         let until = Instant::now() + HANGS;
         let stat = format!("/proc/{}/stat", self.router.id());
-        let still = || {
-            std::fs::read_to_string(&stat)
-                .is_ok_and(|s| s.rsplit(") ").next().is_some_and(|s| s.starts_with('T')))
+        let now = || {
+            let stat = std::fs::read_to_string(&stat).expect("it runs");
+            stat.rsplit(") ").next().and_then(|rest| rest.chars().next())
         };
-        while !still() {
-            assert!(Instant::now() < until, "it does not stand still");
+        while now() != Some(state) {
+            assert!(Instant::now() < until, "it does not come to {state}");
             std::thread::sleep(LOOKS);
         }
     }
@@ -166,3 +173,61 @@
     there.answer("a2").expect("the router is there");
     assert_eq!(next.join().expect("a client"), Fate::Served);
 }
+
+/// The primary answers a write so; its client is told in time that nothing is promised, the connection ends, and the next
+/// write is served on another.
+fn odd(name: &str, answer: impl FnOnce(held::Link) -> Option<held::Link>) {
+    let scene = Scene::new(name);
+    let (client, mut link) = scene.writing("a1");
+    link.greet("primary").expect("the router is there");
+    assert_eq!(link.statement().expect("a statement").as_deref(), Some("a1"));
+    let link = answer(link);
+    assert_eq!(client.join().expect("a client"), Fate::Failed);
+    let next = scene.asks("a2");
+    let mut other = scene.primary.accept(HANGS).expect("the next write's connection");
+    if let Some(mut link) = link {
+        assert_eq!(link.statement().expect("closed"), None, "it carries nothing more");
+    }
+    other.greet("primary").expect("the router is there");
+    assert_eq!(other.statement().expect("a statement").as_deref(), Some("a2"));
+    other.answer("a2").expect("the router is there");
+    assert_eq!(next.join().expect("a client"), Fate::Served);
+}
+
+/// An error that blames the node.
+const ERROR: &[u8] = b"E\0\0\0\x17SERROR\0CXX000\0Mno\0\0";
+/// A notice of one field.
+const NOTICE: &[u8] = b"N\0\0\0\x09Mno\0\0";
+
+/// Says this and then nothing.
+fn says(mut link: held::Link, bytes: &[u8]) -> Option<held::Link> {
+    link.say(bytes).expect("the router is there");
+    Some(link)
+}
+
+#[test]
+fn an_error_and_then_silence_is_waited_for_no_longer_than_its_attempt() {
+    odd("nodes-error", |link| says(link, ERROR));
+}
+
+#[test]
+fn half_a_message_and_then_silence_is_waited_for_no_longer_than_its_attempt() {
+    odd("nodes-half", |link| says(link, &ERROR[..9]));
+}
+
+#[test]
+fn an_answer_that_never_ends_is_read_no_longer_than_its_attempt() {
+    // Danger: each message is a sign of life, and none of them an answer.
+    odd("nodes-endless", |mut link| {
+        while link.say(NOTICE).is_ok() {}
+        Some(link)
+    });
+}
+
+#[test]
+fn a_reset_after_the_last_byte_is_an_outcome_that_nobody_knows() {
+    odd("nodes-reset", |link| {
+        link.reset().expect("a socket");
+        None
+    });
+}
--- a/standin/src/held.rs
+++ b/standin/src/held.rs
@@ -35,6 +35,7 @@
     pub fn accept(&self, hangs: Duration) -> io::Result<Link> {
         let (mut stream, _) = self.0.accept()?;
         stream.set_read_timeout(Some(hangs))?;
+        stream.set_write_timeout(Some(hangs))?;
         stream.set_nodelay(true)?;
         wire::startup(&mut stream)?;
         Ok(Link(stream))
@@ -83,6 +84,22 @@
         if matches!(come, Ok(1)) { self.statement() } else { Ok(None) }
     }
 
+    /// Resets the connection, as the system does when a process dies.
+    ///
+    /// # Errors
+    /// The system refuses.
+    pub fn reset(self) -> io::Result<()> {
+        socket2::SockRef::from(&self.0).set_linger(Some(Duration::ZERO))
+    }
+
+    /// Says these bytes, whatever they are.
+    ///
+    /// # Errors
+    /// The router has gone, or takes nothing in.
+    pub fn say(&mut self, bytes: &[u8]) -> io::Result<()> {
+        io::Write::write_all(&mut self.0, bytes)
+    }
+
     /// Answers the statement that came with its own id.
     ///
     /// # Errors
