The model measures how near cold nodes come to what they bear

Cause: the model told only whether a cold node fell, not how near the routers' sum came to its budget. Change: each node keeps the most work that came within a window while it was cold, over N + 2 roots of N + 2 requests of mean work; the report tells the largest as cold_peak. What a node falls at is as before.

--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -32,6 +32,8 @@
     /// Work offered of late while cold, with its sum (s).
     offered: VecDeque<(Time, f64)>,
     sum: f64,
+    /// The most of that, as a share of what a cold node surely bears.
+    peak: f64,
     fallen: bool,
 }
 
@@ -48,6 +50,7 @@
             queue: VecDeque::new(),
             offered: VecDeque::new(),
             sum: 0.0,
+            peak: 0.0,
             fallen: false,
         }
     }
@@ -82,6 +85,11 @@
         self.fallen
     }
 
+    /// The most work that came within a window while it was cold, over N + 2 roots of N + 2 requests of mean work.
+    pub fn cold_peak(&self) -> f64 {
+        self.peak
+    }
+
     /// Requests that it holds.
     pub fn held(&self) -> usize {
         self.running as usize + self.queue.len()
@@ -142,6 +150,7 @@
         self.sum += work;
         // Requests of mean work that the settings allow it now, with three roots of them and three more for chance.
         let allowed = self.spec.fall_factor * self.capacity(now) * self.spec.fall_s / self.mean;
+        self.peak = self.peak.max(self.sum / ((allowed + 2.0 * allowed.sqrt() + 2.0) * self.mean));
         self.sum > (allowed + 3.0 * allowed.sqrt() + 3.0) * self.mean
     }
 
@@ -181,6 +190,8 @@
         // A little less than the mean each, so that rounding decides nothing.
         let fell = (1..100).find(|n| node.offer(10_000_000, *n, 0.0999) == Offer::Falls);
         assert_eq!(fell, Some(32));
+        // It surely bears 16 + 2 x 4 + 2 = 26 of them; 32 came, 0.0999 s each against a mean of 0.1 s.
+        assert!((node.cold_peak() - 32.0 * 0.999 / 26.0).abs() < 1e-9, "{}", node.cold_peak());
         let mut warm = Machine::new(NodeSpec::default(), 1.0, 0.1);
         assert!((0..500).all(|n| warm.offer(0, n, 0.1) != Offer::Falls), "a warm node only queues");
     }
--- a/fleet/src/report.rs
+++ b/fleet/src/report.rs
@@ -70,6 +70,8 @@
     pub talked: Option<crate::world::Talked>,
     /// Nodes that fell over.
     pub fallen: u32,
+    /// The most that came to a cold node within a window, as a share of what one surely bears; 1 breaks the promise.
+    pub cold_peak: f64,
     /// Seconds after the loss until service is back to 95 % of what is left.
     pub after_loss: Option<f64>,
     /// Seconds after the return until it is back to 95 % of what it was before the loss.
--- a/fleet/src/world/summary.rs
+++ b/fleet/src/world/summary.rs
@@ -47,6 +47,7 @@
             to_bad: self.counted.to_bad,
             talked: self.spec.peers.is_some().then(|| self.talked.clone()),
             fallen: self.counted.fallen,
+            cold_peak: self.nodes.iter().map(|n| n.machine.cold_peak()).fold(0.0, f64::max),
             after_loss,
             after_return,
             p50_ms: self.latencies.value_at_quantile(0.5) as f64 / 1e3,
