--- a/fleet/tests/slow_start.rs
+++ b/fleet/tests/slow_start.rs
@@ -57,19 +57,24 @@
     )
 }
 
-/// From 1 to 300 routers; among them the nearest to the bound, and the one over it, of the first 44 that were played.
-const SEEDS: [u64; 8] = [4, 15, 19, 21, 23, 28, 29, 45];
+/// From 1 to 300 routers; among them the nearest to the bound of the first 44 that were played, but for the one over it.
+const SEEDS: [u64; 7] = [4, 15, 19, 23, 28, 29, 45];
+/// The one over it: 20 routers, a burst of twice a load that is high already, nodes that fall early.
+const OVER: u64 = 21;
+
+fn spares(seed: u64) {
+    let spec = drawn(seed);
+    let report = run(&spec, seed).expect("it runs");
+    println!("{}", told(seed, &spec, &report));
+    assert!(report.cold_peak <= 1.0, "{}", told(seed, &spec, &report));
+}
 
 #[test]
 fn all_routers_together_spare_cold_nodes() {
-    let mut over = Vec::new();
-    for seed in SEEDS {
-        let spec = drawn(seed);
-        let report = run(&spec, seed).expect("it runs");
-        println!("{}", told(seed, &spec, &report));
-        if report.cold_peak > 1.0 {
-            over.push(told(seed, &spec, &report));
-        }
-    }
-    assert!(over.is_empty(), "{} over: {over:#?}", over.len());
+    SEEDS.into_iter().for_each(spares);
+}
+
+#[test]
+fn all_routers_together_spare_cold_nodes_in_a_burst_of_a_high_load() {
+    spares(OVER);
 }
