Who cancels or leaves has gone at once, also on the platform's listener

Cause: on the platform's listener every client was greeted with a key of zeros, so a cancel was taken and ignored. At 16 unanswered queries nothing more was read, so the end of a stream lay unseen behind unread queries and these were begun one after the other. One read a turn saw a request and left the end behind it for the next turn, so a busy loop began requests of clients that had gone.

Change: each client gets a key of its own. A wish is met before its sender is told the end of its connection, so that no later query is hit, and the session that it names is read first, so that a query which came before it is found. Who sends a wish and closes at once is heard. Up to 256 KiB a connection are read ahead of what may be begun, while half of the budget is left; beyond that a client floods, and its end is seen when answers make room. Reads go on to the end where it can be reached.

--- a/router/src/front/pg.rs
+++ b/router/src/front/pg.rs
@@ -31,6 +31,10 @@
 const LONGEST: usize = 4 * 1024 * 1024;
 /// Queries of one connection that may be unanswered, and bytes unsent, before no more are read.
 const PIPELINE: (usize, usize) = (16, 256 * 1024);
+/// Bytes of one connection that are read beyond what there is room to begin, so that its end is seen behind them: some
+/// thousand queries. Danger: the end would lie unseen, and what waits be sent on for nobody. A client that sends more
+/// floods, and its end is seen when its answers have made room.
+const AHEAD: usize = 256 * 1024;
 /// Messages that one client may have read in a turn of the loop, and connections that are accepted in one.
 const TURN: (u32, u32) = (32, 64);
 /// From connecting until the first request has come whole. Danger: connections that say nothing, or trickle, would hold
@@ -530,15 +534,19 @@
     }
 
     /// The poller has something to say of a client.
-    pub fn event(&mut self, key: Key, hung_up: bool, core: &mut Core) {
+    pub fn event(&mut self, key: Key, hung_up: bool, now: Time, core: &mut Core) {
         let Some(client) = self.clients.get_mut(key) else { return };
         // Danger: the poller tells of a reset whatever the socket waits for, over and over: one that is not being
         // read would keep the loop spinning.
-        let peer = match client.phase {
-            _ if hung_up => Peer::Gone,
-            Phase::Closing => Peer::Open,
-            _ => client.stream.fill(),
-        };
+        let peer = if hung_up { Peer::Gone } else { Self::hear(client) };
+        if peer == Peer::Gone {
+            // Whoever wants a request cancelled need not wait for our end of the connection.
+            while client.door.is_some() && client.phase != Phase::Closing {
+                if !Self::come_in(&mut self.words, client, key, now) {
+                    break;
+                }
+            }
+        }
         if peer != Peer::Open {
             debug!(client = key.number(), ?peer, "closed");
             return self.close(key, core);
@@ -546,6 +554,29 @@
         self.mark(key);
     }
 
+    /// Reads what a client has sent, up to its end where that can be reached. Danger: with its end left for the next turn,
+    /// requests would begin whose client has gone while the loop was busy.
+    fn hear(client: &mut Client) -> Peer {
+        // `heard_out` reads, and keeps nothing.
+        if client.leaving.is_some() {
+            return Peer::Open;
+        }
+        while Self::listens(client) {
+            let before = client.stream.unread().len();
+            match client.stream.fill() {
+                Peer::Open if client.stream.unread().len() > before => {
+                    if client.stream.unread().len() >= AHEAD {
+                        break;
+                    }
+                }
+                // What is read ahead need not be: there is memory for it later.
+                Peer::TooMuch if !Self::reads(client) => break,
+                peer => return peer,
+            }
+        }
+        Peer::Open
+    }
+
     /// It is time to look a client over.
     pub fn look_over(&mut self, key: Key, now: Time, core: &mut Core) {
         let Some(client) = self.clients.get_mut(key) else { return };
@@ -632,15 +663,18 @@
                 self.close(key, core);
                 continue;
             };
+            // Danger: whoever is told the end of its wish before the wish is met may find its next query cancelled.
+            self.cancel_wanted(now, core);
+            let Some(client) = self.clients.get_mut(key) else { continue };
             let done = sent && client.pending.is_empty();
             if done && client.phase == Phase::Closing && Self::heard_out(client, now) {
                 self.close(key, core);
                 continue;
             }
-            let reads = client.phase != Phase::Closing && Self::has_room(client);
+            let reads = Self::reads(client);
             let partial = reads && !more && !client.stream.unread().is_empty();
             client.begun = partial.then(|| client.begun.unwrap_or(now));
-            client.stream.wait_for(reads || client.leaving.is_some());
+            client.stream.wait_for(Self::listens(client));
             let idle = self.draining && client.asked && client.idle() && client.phase != Phase::Closing;
             self.settle(key, core);
             if more {
@@ -692,8 +726,7 @@
             }
             // Danger: a client that sends at full speed would hold the turn for as long as its input lasts.
             if left == 0 || !sent || before < PIPELINE.1 {
-                let reads = client.phase != Phase::Closing && Self::has_room(client);
-                return Ok((sent, left == 0 && reads && !client.stream.unread().is_empty()));
+                return Ok((sent, left == 0 && Self::reads(client) && !client.stream.unread().is_empty()));
             }
         }
     }
@@ -702,6 +735,17 @@
         client.pending.len() < PIPELINE.0 && client.stream.unsent() < PIPELINE.1
     }
 
+    /// Whether what it sends next may be begun.
+    fn reads(client: &Client) -> bool {
+        client.phase != Phase::Closing && Self::has_room(client)
+    }
+
+    /// Whether its bytes are waited for: to be begun, to be dropped, or for the end that may come behind them.
+    fn listens(client: &Client) -> bool {
+        let ahead = || client.stream.unread().len() < AHEAD && client.stream.may_hoard();
+        client.leaving.is_some() || Self::reads(client) || ahead()
+    }
+
     /// Takes one message in; false where none is whole or there is no room for it.
     fn read(words: &mut Words, client: &mut Client, key: Key, now: Time, core: &mut Core) -> bool {
         if !Self::has_room(client) {
@@ -831,11 +875,12 @@
         let way = &mut words.entries[client.entry];
         let named = way.terms.defaults.is_some();
         let mut told = way.terms.parameters.clone();
+        // Danger: a client without one could end what it does not want any more only by closing.
+        let issued = way.keys.issue(key, client.version, random());
+        client.key = Some(issued.id);
         if named {
             way.throttle.succeeded(now, client.from, door.user());
             client.asked = true;
-            let issued = way.keys.issue(key, client.version, random());
-            client.key = Some(issued.id);
             told.push(("session_authorization".into(), door.user().into()));
             for (name, value) in door.parameters() {
                 match client.session.set(name, Some(value)) {
@@ -848,11 +893,9 @@
                     Err(fault) => return client.dismiss(words, fault.code, &fault.text),
                 }
             }
-            let speech = client.speech();
-            return client.say(words, |out| speech.greet(&told, Some(&issued), out));
         }
         let speech = client.speech();
-        client.say(words, |out| speech.greet(&told, None, out));
+        client.say(words, |out| speech.greet(&told, Some(&issued), out));
     }
 
     /// Takes one message of version 2.0 in; false where none is whole.
@@ -894,6 +937,16 @@
         for (entry, wanted) in mem::take(&mut self.words.wanted) {
             let Some(key) = self.words.entries[entry].keys.find(&wanted) else { continue };
             let Some(client) = self.clients.get_mut(key) else { continue };
+            // Danger: the query may have come before the wish and be read after it, and would run for nobody.
+            if client.pending.is_empty()
+                && (Self::hear(client) != Peer::Open
+                    || Self::exchange(&mut self.words, client, key, now, core).is_err())
+            {
+                self.close(key, core);
+                continue;
+            }
+            self.mark(key);
+            let Some(client) = self.clients.get_mut(key) else { continue };
             // Only what is under way; what waits behind it in the pipeline goes on.
             let Some(pending) = client.pending.front_mut().filter(|p| p.request.is_some()) else { continue };
             let speech = Speech { version: client.version, forms: client.session.forms };
@@ -907,7 +960,6 @@
             if let Some(asked) = pending.request.take() {
                 core.cancel(asked.request, now);
             }
-            self.mark(key);
         }
     }
 
--- a/router/src/net/budget.rs
+++ b/router/src/net/budget.rs
@@ -81,6 +81,11 @@
     pub fn is_over(&self) -> bool {
         self.bytes.len() >= SMALL && self.share.account.held.get() >= self.share.account.most
     }
+
+    /// Whether no more than half of the budget is spent. Danger: what is held ahead would leave nothing for others.
+    pub fn has_plenty(&self) -> bool {
+        self.share.account.held.get() <= self.share.account.most / 2
+    }
 }
 
 impl Deref for Buffer {
--- a/router/src/net/stream.rs
+++ b/router/src/net/stream.rs
@@ -94,6 +94,11 @@
         let _ = self.socket.shutdown(Shutdown::Write);
     }
 
+    /// Whether it may read what is not needed yet: half of the memory for all is left.
+    pub fn may_hoard(&self) -> bool {
+        self.input.has_plenty()
+    }
+
     /// The bytes that came and have not been taken.
     pub fn unread(&self) -> &[u8] {
         &self.input[self.read..]
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -166,7 +166,7 @@
         self.pass_on(now);
         self.fleet(now);
         for (key, hung_up) in of(Source::Client) {
-            self.front.event(key, hung_up, &mut self.core);
+            self.front.event(key, hung_up, now, &mut self.core);
         }
         for (entry, _) in of(Source::Listener) {
             self.front.accept(entry, now, &mut self.core);
--- a/router/tests/exchanges.rs
+++ b/router/tests/exchanges.rs
@@ -230,6 +230,12 @@
     }
 
     fn note(&mut self, who: &str, bytes: &[u8], after: &str) {
+        // The secret of a cancel key is drawn anew each time; that it stands there, and how long it is, does not change.
+        let key = bytes.windows(5).position(|head| head == b"K\0\0\0\x0c");
+        let mut bytes = bytes.to_vec();
+        if let Some(secret) = key.and_then(|at| bytes.get_mut(at + 9..at + 13)) {
+            secret.copy_from_slice(b"####");
+        }
         let long = bytes.len() > 2_000;
         let text = if long { format!("{} bytes", bytes.len()) } else { bytes.escape_ascii().to_string() };
         // How long an attempt is waited for depends on the moment; that it is told does not.
