A resting client is told its end and heard out before its connection is closed

Cause: close_idle took a last look and closed. What came between look and close, or lay on its way, met a closed socket: the connection was reset, and an answer on its way could go with it.

Change: a client that is closed between requests, or has not asked in time, is shut on the writing side and heard out for 300 ms and 256 KiB; what it sends then is dropped and never sent on. Where its place is wanted for a newcomer it is closed at once, as before, and so is whoever is heard out already.

Seen with one part switched off at a time (router/tests/standing_clients.rs): closed at once: what_crosses_the_close_..., "what crossed the close broke the connection: BrokenPipe"; heard out for a second as dismissed ones are: clients_that_rest_..., "it ended after 1.50s". A second SIGTERM turned out harmless; the same test sends it.

--- a/router/src/front/pg.rs
+++ b/router/src/front/pg.rs
@@ -56,6 +56,9 @@
 /// What a client that has been dismissed still sends is read for so long and so many bytes: a close with bytes unread
 /// resets the connection, which may destroy the last answer on its way.
 const LEAVE: (Time, usize) = (1_000_000, 256 * 1024);
+/// A client that is closed between requests is heard out for so long. Danger: with the dismissed ones' time, clients that
+/// never close would hold up the router's end until it is killed.
+const LEAVE_RESTING: Time = 300_000;
 /// Errors of protocol in a row that end a session.
 const FAULTS: u32 = 8;
 /// Connections that may wait to be accepted: hundreds may come at once.
@@ -136,7 +139,7 @@
     begun: Option<Time>,
     /// How long a message may be under way.
     message_for: Time,
-    /// Since when it is only heard out, and the bytes that it may still send.
+    /// Until when it is only heard out, and the bytes that it may still send.
     leaving: Option<(Time, usize)>,
     /// A request of its has been taken on; until then, by when one must have been.
     asked: bool,
@@ -161,8 +164,8 @@
             Some(self.touched + UNREAD)
         } else if !self.pending.is_empty() {
             None
-        } else if let Some((since, _)) = self.leaving {
-            Some(since + LEAVE.0)
+        } else if let Some((until, _)) = self.leaving {
+            Some(until)
         } else if !self.asked {
             Some(self.first)
         } else {
@@ -212,6 +215,13 @@
         });
     }
 
+    /// From now on nothing that it sends is begun; it is told so, and heard out for so long.
+    fn leave(&mut self, until: Time) {
+        self.phase = Phase::Closing;
+        self.leaving = Some((until, LEAVE.1));
+        self.stream.finish();
+    }
+
     /// Words for one that is closed before it has asked. Danger: closed without any, it does not know whether coming
     /// again is harmless.
     fn tell_unasked(&mut self) {
@@ -476,23 +486,43 @@
 
     /// Closes the clients that have been idle for longest where too many are. Danger: clients may hold only so many
     /// connections, and those that ask once and hold on to theirs would leave none for the others.
-    fn thin_out(&mut self, core: &mut Core) {
+    fn thin_out(&mut self, now: Time, core: &mut Core) {
         let over = self.idle.saturating_sub(self.most / MOST_IDLE);
         let idle = self.spare.range((Spare::Idle, 0, Key::from_number(0))..).take(over);
         for key in idle.map(|&(_, _, key)| key).collect::<Vec<Key>>() {
-            self.close_idle(key, core);
+            self.close_idle(key, now, core);
         }
     }
 
     /// Makes room for one more client.
     fn shed(&mut self, core: &mut Core) {
         let first: Vec<Key> = self.spare.iter().take(LAST_LOOKS).map(|&(_, _, key)| key).collect();
-        // One that has just spoken stays, and the next one goes.
-        first.into_iter().find(|key| self.close_idle(*key, core));
+        // One that has just spoken stays, and the next one goes. Its place is wanted now, so nobody is heard out.
+        for key in first {
+            if self.may_go(key) {
+                return self.close(key, core);
+            }
+        }
+    }
+
+    /// Ends a client between requests, unless something has just come.
+    fn close_idle(&mut self, key: Key, now: Time, core: &mut Core) {
+        if !self.may_go(key) {
+            return;
+        }
+        let Some(client) = self.clients.get_mut(key) else { return };
+        // Danger: closed at once, what crosses the close resets the connection, and takes an answer on its way with it.
+        if client.leaving.is_none() && client.stream.unsent() == 0 {
+            client.leave(now + LEAVE_RESTING);
+            self.mark(key);
+            self.settle(key, core);
+        } else {
+            self.close(key, core);
+        }
     }
 
-    /// Closes a client between requests, unless something has just come; true where it is closed.
-    fn close_idle(&mut self, key: Key, core: &mut Core) -> bool {
+    /// Whether a client between requests may be ended: nothing has just come. One that has not asked is told.
+    fn may_go(&mut self, key: Key) -> bool {
         let Some(client) = self.clients.get_mut(key) else { return false };
         // Danger: closing with a request unread in the kernel's buffer loses it; so a last look is taken first.
         let before = client.stream.unread().len();
@@ -503,7 +533,6 @@
             self.mark(key);
         } else {
             client.tell_unasked();
-            self.close(key, core);
         }
         !spoke
     }
@@ -584,7 +613,7 @@
         match client.until() {
             Some(at) if at > now => self.settle(key, core),
             Some(_) if client.leaving.is_none() && client.stream.unsent() == 0 && client.begun.is_none() => {
-                self.close_idle(key, core);
+                self.close_idle(key, now, core);
             }
             Some(_) => {
                 client.tell_unasked();
@@ -680,20 +709,19 @@
             if more {
                 self.mark(key);
             } else if idle {
-                self.close_idle(key, core);
+                self.close_idle(key, now, core);
             }
         }
         self.cancel_wanted(now, core);
-        self.thin_out(core);
+        self.thin_out(now, core);
     }
 
     /// All has been said to a client that is to go: it is told so, and heard out; true once that is over.
     fn heard_out(client: &mut Client, now: Time) -> bool {
-        let first = client.leaving.is_none();
-        let (_, left) = client.leaving.get_or_insert((now, LEAVE.1));
-        if first {
-            client.stream.finish();
+        if client.leaving.is_none() {
+            client.leave(now + LEAVE.0);
         }
+        let Some((_, left)) = &mut client.leaving else { return true };
         match client.stream.discard() {
             Ok(count) => {
                 *left = left.saturating_sub(count);
@@ -1105,7 +1133,7 @@
                 client.first = client.first.min(now + FIRST_SOON);
                 self.settle(key, core);
             } else if client.idle() {
-                self.close_idle(key, core);
+                self.close_idle(key, now, core);
             } else {
                 self.settle(key, core);
             }
--- a/router/tests/standing_clients.rs
+++ b/router/tests/standing_clients.rs
@@ -251,3 +251,48 @@
     let begun: Vec<_> = (0..9).map(|n| format!("f1{n:x}")).filter(|id| ran(&nodes, id)).collect();
     assert!(begun.is_empty(), "sent on though the client had gone: {begun:?}");
 }
+
+#[test]
+fn what_crosses_the_close_of_a_resting_client_resets_nothing_and_is_not_sent_on() {
+    // Danger: closed at once, the connection is reset by what crosses, and an answer on its way is lost with it; read
+    // after the end was told and sent on, the request is lost.
+    let (router, nodes, _kept) = served("clients-close-crossed", [Manner::Good; 3], 64);
+    let listen = router.listen();
+    // Of 20 places 6 may be held without a request: the seventh ends the first.
+    let mut resting: Vec<Raw> = Vec::new();
+    for n in 0..7 {
+        let mut client = Raw::connect(listen);
+        client.query(&statement(&format!("a7{n:x}"), "look"));
+        assert_eq!(client.answer(), "row");
+        resting.push(client);
+    }
+    let first = &mut resting[0];
+    assert_eq!(first.stream.read(&mut [0]).expect("an end in good order"), 0);
+    first.query(&statement("a8", "look"));
+    let last = &mut resting[6];
+    last.query(&statement("a9", "look"));
+    assert_eq!(last.answer(), "row");
+    let first = &resting[0];
+    let broken = first.stream.take_error().expect("asked");
+    assert!(broken.is_none(), "what crossed the close broke the connection: {broken:?}");
+    assert!(!ran(&nodes, "a8"), "read after the end was told, and sent on");
+}
+
+#[test]
+fn clients_that_rest_until_the_router_ends_them_hold_up_no_end() {
+    let (mut router, _nodes, _kept) = served("clients-rest", [Manner::Good; 3], 512);
+    let mut resting: Vec<Raw> = (0..4).map(|_| Raw::connect(router.listen())).collect();
+    for (n, client) in resting.iter_mut().enumerate() {
+        client.query(&statement(&format!("b9{n:x}"), "look"));
+        assert_eq!(client.answer(), "row");
+    }
+    let term = Instant::now();
+    router.strike(Blow::Term);
+    // Told once more, it does as it was told.
+    router.strike(Blow::Term);
+    assert!(router.ended(HANGS).is_some_and(|status| status.success()));
+    assert!(term.elapsed() < Duration::from_millis(1_500), "it ended after {:?}", term.elapsed());
+    for client in &mut resting {
+        assert_eq!(client.stream.read(&mut [0]).expect("an end in good order"), 0);
+    }
+}
