--- a/router/src/front/pg.rs
+++ b/router/src/front/pg.rs
@@ -31,6 +31,10 @@
 const LONGEST: usize = 4 * 1024 * 1024;
 /// Queries of one connection that may be unanswered, and bytes unsent, before no more are read.
 const PIPELINE: (usize, usize) = (16, 256 * 1024);
+/// Bytes of one connection that are read beyond what there is room to begin, so that its end is seen behind them: some
+/// thousand queries. Danger: the end would lie unseen, and what waits be sent on for nobody. A client that sends more
+/// floods, and its end is seen when its answers have made room.
+const AHEAD: usize = 256 * 1024;
 /// Messages that one client may have read in a turn of the loop, and connections that are accepted in one.
 const TURN: (u32, u32) = (32, 64);
 /// From connecting until the first request has come whole. Danger: connections that say nothing, or trickle, would hold
@@ -52,6 +56,9 @@
 /// What a client that has been dismissed still sends is read for so long and so many bytes: a close with bytes unread
 /// resets the connection, which may destroy the last answer on its way.
 const LEAVE: (Time, usize) = (1_000_000, 256 * 1024);
+/// A client that is closed between requests is heard out for so long. Danger: with the dismissed ones' time, clients that
+/// never close would hold up the router's end until it is killed.
+const LEAVE_RESTING: Time = 300_000;
 /// Errors of protocol in a row that end a session.
 const FAULTS: u32 = 8;
 /// Connections that may wait to be accepted: hundreds may come at once.
@@ -132,7 +139,7 @@
     begun: Option<Time>,
     /// How long a message may be under way.
     message_for: Time,
-    /// Since when it is only heard out, and the bytes that it may still send.
+    /// Until when it is only heard out, and the bytes that it may still send.
     leaving: Option<(Time, usize)>,
     /// A request of its has been taken on; until then, by when one must have been.
     asked: bool,
@@ -157,8 +164,8 @@
             Some(self.touched + UNREAD)
         } else if !self.pending.is_empty() {
             None
-        } else if let Some((since, _)) = self.leaving {
-            Some(since + LEAVE.0)
+        } else if let Some((until, _)) = self.leaving {
+            Some(until)
         } else if !self.asked {
             Some(self.first)
         } else {
@@ -208,6 +215,13 @@
         });
     }
 
+    /// From now on nothing that it sends is begun; it is told so, and heard out for so long.
+    fn leave(&mut self, until: Time) {
+        self.phase = Phase::Closing;
+        self.leaving = Some((until, LEAVE.1));
+        self.stream.finish();
+    }
+
     /// Words for one that is closed before it has asked. Danger: closed without any, it does not know whether coming
     /// again is harmless.
     fn tell_unasked(&mut self) {
@@ -472,23 +486,43 @@
 
     /// Closes the clients that have been idle for longest where too many are. Danger: clients may hold only so many
     /// connections, and those that ask once and hold on to theirs would leave none for the others.
-    fn thin_out(&mut self, core: &mut Core) {
+    fn thin_out(&mut self, now: Time, core: &mut Core) {
         let over = self.idle.saturating_sub(self.most / MOST_IDLE);
         let idle = self.spare.range((Spare::Idle, 0, Key::from_number(0))..).take(over);
         for key in idle.map(|&(_, _, key)| key).collect::<Vec<Key>>() {
-            self.close_idle(key, core);
+            self.close_idle(key, now, core);
         }
     }
 
     /// Makes room for one more client.
     fn shed(&mut self, core: &mut Core) {
         let first: Vec<Key> = self.spare.iter().take(LAST_LOOKS).map(|&(_, _, key)| key).collect();
-        // One that has just spoken stays, and the next one goes.
-        first.into_iter().find(|key| self.close_idle(*key, core));
+        // One that has just spoken stays, and the next one goes. Its place is wanted now, so nobody is heard out.
+        for key in first {
+            if self.may_go(key) {
+                return self.close(key, core);
+            }
+        }
     }
 
-    /// Closes a client between requests, unless something has just come; true where it is closed.
-    fn close_idle(&mut self, key: Key, core: &mut Core) -> bool {
+    /// Ends a client between requests, unless something has just come.
+    fn close_idle(&mut self, key: Key, now: Time, core: &mut Core) {
+        if !self.may_go(key) {
+            return;
+        }
+        let Some(client) = self.clients.get_mut(key) else { return };
+        // Danger: closed at once, what crosses the close resets the connection, and takes an answer on its way with it.
+        if client.leaving.is_none() && client.stream.unsent() == 0 {
+            client.leave(now + LEAVE_RESTING);
+            self.mark(key);
+            self.settle(key, core);
+        } else {
+            self.close(key, core);
+        }
+    }
+
+    /// Whether a client between requests may be ended: nothing has just come. One that has not asked is told.
+    fn may_go(&mut self, key: Key) -> bool {
         let Some(client) = self.clients.get_mut(key) else { return false };
         // Danger: closing with a request unread in the kernel's buffer loses it; so a last look is taken first.
         let before = client.stream.unread().len();
@@ -499,7 +533,6 @@
             self.mark(key);
         } else {
             client.tell_unasked();
-            self.close(key, core);
         }
         !spoke
     }
@@ -530,15 +563,19 @@
     }
 
     /// The poller has something to say of a client.
-    pub fn event(&mut self, key: Key, hung_up: bool, core: &mut Core) {
+    pub fn event(&mut self, key: Key, hung_up: bool, now: Time, core: &mut Core) {
         let Some(client) = self.clients.get_mut(key) else { return };
         // Danger: the poller tells of a reset whatever the socket waits for, over and over: one that is not being
         // read would keep the loop spinning.
-        let peer = match client.phase {
-            _ if hung_up => Peer::Gone,
-            Phase::Closing => Peer::Open,
-            _ => client.stream.fill(),
-        };
+        let peer = if hung_up { Peer::Gone } else { Self::hear(client) };
+        if peer == Peer::Gone {
+            // Whoever wants a request cancelled need not wait for our end of the connection.
+            while client.door.is_some() && client.phase != Phase::Closing {
+                if !Self::come_in(&mut self.words, client, key, now) {
+                    break;
+                }
+            }
+        }
         if peer != Peer::Open {
             debug!(client = key.number(), ?peer, "closed");
             return self.close(key, core);
@@ -546,6 +583,29 @@
         self.mark(key);
     }
 
+    /// Reads what a client has sent, up to its end where that can be reached. Danger: with its end left for the next turn,
+    /// requests would begin whose client has gone while the loop was busy.
+    fn hear(client: &mut Client) -> Peer {
+        // `heard_out` reads, and keeps nothing.
+        if client.leaving.is_some() {
+            return Peer::Open;
+        }
+        while Self::listens(client) {
+            let before = client.stream.unread().len();
+            match client.stream.fill() {
+                Peer::Open if client.stream.unread().len() > before => {
+                    if client.stream.unread().len() >= AHEAD {
+                        break;
+                    }
+                }
+                // What is read ahead need not be: there is memory for it later.
+                Peer::TooMuch if !Self::reads(client) => break,
+                peer => return peer,
+            }
+        }
+        Peer::Open
+    }
+
     /// It is time to look a client over.
     pub fn look_over(&mut self, key: Key, now: Time, core: &mut Core) {
         let Some(client) = self.clients.get_mut(key) else { return };
@@ -553,7 +613,7 @@
         match client.until() {
             Some(at) if at > now => self.settle(key, core),
             Some(_) if client.leaving.is_none() && client.stream.unsent() == 0 && client.begun.is_none() => {
-                self.close_idle(key, core);
+                self.close_idle(key, now, core);
             }
             Some(_) => {
                 client.tell_unasked();
@@ -632,34 +692,36 @@
                 self.close(key, core);
                 continue;
             };
+            // Danger: whoever is told the end of its wish before the wish is met may find its next query cancelled.
+            self.cancel_wanted(now, core);
+            let Some(client) = self.clients.get_mut(key) else { continue };
             let done = sent && client.pending.is_empty();
             if done && client.phase == Phase::Closing && Self::heard_out(client, now) {
                 self.close(key, core);
                 continue;
             }
-            let reads = client.phase != Phase::Closing && Self::has_room(client);
+            let reads = Self::reads(client);
             let partial = reads && !more && !client.stream.unread().is_empty();
             client.begun = partial.then(|| client.begun.unwrap_or(now));
-            client.stream.wait_for(reads || client.leaving.is_some());
+            client.stream.wait_for(Self::listens(client));
             let idle = self.draining && client.asked && client.idle() && client.phase != Phase::Closing;
             self.settle(key, core);
             if more {
                 self.mark(key);
             } else if idle {
-                self.close_idle(key, core);
+                self.close_idle(key, now, core);
             }
         }
         self.cancel_wanted(now, core);
-        self.thin_out(core);
+        self.thin_out(now, core);
     }
 
     /// All has been said to a client that is to go: it is told so, and heard out; true once that is over.
     fn heard_out(client: &mut Client, now: Time) -> bool {
-        let first = client.leaving.is_none();
-        let (_, left) = client.leaving.get_or_insert((now, LEAVE.1));
-        if first {
-            client.stream.finish();
+        if client.leaving.is_none() {
+            client.leave(now + LEAVE.0);
         }
+        let Some((_, left)) = &mut client.leaving else { return true };
         match client.stream.discard() {
             Ok(count) => {
                 *left = left.saturating_sub(count);
@@ -692,8 +754,7 @@
             }
             // Danger: a client that sends at full speed would hold the turn for as long as its input lasts.
             if left == 0 || !sent || before < PIPELINE.1 {
-                let reads = client.phase != Phase::Closing && Self::has_room(client);
-                return Ok((sent, left == 0 && reads && !client.stream.unread().is_empty()));
+                return Ok((sent, left == 0 && Self::reads(client) && !client.stream.unread().is_empty()));
             }
         }
     }
@@ -702,6 +763,17 @@
         client.pending.len() < PIPELINE.0 && client.stream.unsent() < PIPELINE.1
     }
 
+    /// Whether what it sends next may be begun.
+    fn reads(client: &Client) -> bool {
+        client.phase != Phase::Closing && Self::has_room(client)
+    }
+
+    /// Whether its bytes are waited for: to be begun, to be dropped, or for the end that may come behind them.
+    fn listens(client: &Client) -> bool {
+        let ahead = || client.stream.unread().len() < AHEAD && client.stream.may_hoard();
+        client.leaving.is_some() || Self::reads(client) || ahead()
+    }
+
     /// Takes one message in; false where none is whole or there is no room for it.
     fn read(words: &mut Words, client: &mut Client, key: Key, now: Time, core: &mut Core) -> bool {
         if !Self::has_room(client) {
@@ -831,11 +903,12 @@
         let way = &mut words.entries[client.entry];
         let named = way.terms.defaults.is_some();
         let mut told = way.terms.parameters.clone();
+        // Danger: a client without one could end what it does not want any more only by closing.
+        let issued = way.keys.issue(key, client.version, random());
+        client.key = Some(issued.id);
         if named {
             way.throttle.succeeded(now, client.from, door.user());
             client.asked = true;
-            let issued = way.keys.issue(key, client.version, random());
-            client.key = Some(issued.id);
             told.push(("session_authorization".into(), door.user().into()));
             for (name, value) in door.parameters() {
                 match client.session.set(name, Some(value)) {
@@ -848,11 +921,9 @@
                     Err(fault) => return client.dismiss(words, fault.code, &fault.text),
                 }
             }
-            let speech = client.speech();
-            return client.say(words, |out| speech.greet(&told, Some(&issued), out));
         }
         let speech = client.speech();
-        client.say(words, |out| speech.greet(&told, None, out));
+        client.say(words, |out| speech.greet(&told, Some(&issued), out));
     }
 
     /// Takes one message of version 2.0 in; false where none is whole.
@@ -894,6 +965,16 @@
         for (entry, wanted) in mem::take(&mut self.words.wanted) {
             let Some(key) = self.words.entries[entry].keys.find(&wanted) else { continue };
             let Some(client) = self.clients.get_mut(key) else { continue };
+            // Danger: the query may have come before the wish and be read after it, and would run for nobody.
+            if client.pending.is_empty()
+                && (Self::hear(client) != Peer::Open
+                    || Self::exchange(&mut self.words, client, key, now, core).is_err())
+            {
+                self.close(key, core);
+                continue;
+            }
+            self.mark(key);
+            let Some(client) = self.clients.get_mut(key) else { continue };
             // Only what is under way; what waits behind it in the pipeline goes on.
             let Some(pending) = client.pending.front_mut().filter(|p| p.request.is_some()) else { continue };
             let speech = Speech { version: client.version, forms: client.session.forms };
@@ -907,7 +988,6 @@
             if let Some(asked) = pending.request.take() {
                 core.cancel(asked.request, now);
             }
-            self.mark(key);
         }
     }
 
@@ -1053,7 +1133,7 @@
                 client.first = client.first.min(now + FIRST_SOON);
                 self.settle(key, core);
             } else if client.idle() {
-                self.close_idle(key, core);
+                self.close_idle(key, now, core);
             } else {
                 self.settle(key, core);
             }
