Who has spoken keeps its place though many come in the same turn, and its test holds places

Cause: with all places taken each newcomer has those looked at that have not asked. A client that this turn had read already had nothing more to say at that look (may_go), and was closed with its request unread. Change: the look counts what this turn has heard. The test holds its places with writes that have been sent to nodes that say nothing (a new manner of the stand-in); all that it asserts is as before.

--- a/router/src/front/pg.rs
+++ b/router/src/front/pg.rs
@@ -526,9 +526,10 @@
         let Some(client) = self.clients.get_mut(key) else { return false };
         // Danger: closing with a request unread in the kernel's buffer loses it; so a last look is taken first.
         let before = client.stream.unread().len();
+        // Danger: one that this turn has heard already says nothing more, and would be closed with its request unread.
+        let heard = client.marked && before > 0;
         let spoke = client.leaving.is_none()
-            && client.stream.fill() == Peer::Open
-            && client.stream.unread().len() > before;
+            && (heard || client.stream.fill() == Peer::Open && client.stream.unread().len() > before);
         if spoke {
             self.mark(key);
         } else {
--- a/router/tests/standing.rs
+++ b/router/tests/standing.rs
@@ -214,8 +214,10 @@
 #[test]
 fn out_of_places_everyone_is_told_though_some_say_nothing() {
     // Danger: a connection that is closed without a word counts as refused, and many of them as lost. Eight beyond the
-    // limit are told at a time. All places are held by requests on slow nodes, and mute ones come first.
-    let (router, _nodes, _agent, _folder) = served("standing-places", [Manner::Silent; 3], 64);
+    // limit are told at a time. All places are held by requests on slow nodes, and mute ones come first. The requests are
+    // writes that have been sent: others use their attempts up within the 300 ms that the mute ones have, and free the
+    // places again.
+    let (router, _nodes, _agent, _folder) = served("standing-places", [Manner::HoldsWork; 3], 64);
     let listen = router.listen();
     let mut held = Vec::new();
     // All places are taken, however many there are, once one that comes is told so.
@@ -224,7 +226,7 @@
         client.greet().expect("it reads");
         match client.hear() {
             Heard::Ready => {
-                client.query(&statement(&format!("b{:x}", held.len()), "look")).expect("it reads")
+                client.query(&statement(&format!("b{:x}", held.len()), "book")).expect("it reads")
             }
             heard => break assert_eq!(heard, Heard::Error("53300".into())),
         }
--- a/router/tests/standing_clients.rs
+++ b/router/tests/standing_clients.rs
@@ -296,3 +296,35 @@
         assert_eq!(client.stream.read(&mut [0]).expect("an end in good order"), 0);
     }
 }
+
+#[test]
+fn who_has_spoken_keeps_its_place_though_many_come_in_the_same_turn() {
+    // Danger: each newcomer has those who came first looked at; the second look finds nothing new and closes them with
+    // their requests unread. The router stands still until all have spoken, so that it takes them in at once.
+    let (mut router, _nodes, _kept) = served("clients-crowd", [Manner::Good; 3], 64);
+    let listen = router.listen();
+    router.strike(Blow::Stop);
+    let mut crowd: Vec<Raw> = (0..26).map(|_| Raw::dial(listen)).collect();
+    for (n, client) in crowd.iter_mut().enumerate() {
+        let asks = query(&statement(&format!("ca{n:x}"), "look"));
+        client.write(&[&b"\0\0\0\x11\0\x03\0\0user\0me\0\0"[..], &asks].concat());
+    }
+    router.strike(Blow::Continue);
+    // There are 20 places, and up to 8 more are told so.
+    for (n, client) in crowd.iter_mut().enumerate() {
+        let mut greeted = false;
+        while let (kind, body) = client.message()
+            && kind != b'Z'
+        {
+            if kind == b'E' {
+                assert!(n >= 20, "{n} came before the places were out: {}", body.escape_ascii());
+                break;
+            }
+            greeted |= kind == b'R';
+        }
+        assert!(greeted == (n < 20), "{n}");
+        if greeted {
+            assert_eq!(client.answer(), "row", "{n}");
+        }
+    }
+}
--- a/standin/src/rough.rs
+++ b/standin/src/rough.rs
@@ -215,6 +215,8 @@
     Silent,
     /// Greets, and closes when a statement comes.
     ClosesOnWork,
+    /// Greets, and says nothing more once a statement comes: what it has been sent waits until its router gives it up.
+    HoldsWork,
     /// Serves, and takes its time over each statement.
     Slow,
     /// Serves, but its reports lack all fields but one.
@@ -304,8 +306,10 @@
                 if manner == Manner::Slow {
                     std::thread::sleep(SLOW);
                 }
-                if manner == Manner::ClosesOnWork {
-                    return stream.shutdown(Shutdown::Both);
+                match manner {
+                    Manner::ClosesOnWork => return stream.shutdown(Shutdown::Both),
+                    Manner::HoldsWork => return stream.read_to_end(&mut Vec::new()).map(drop),
+                    _ => {}
                 }
                 wire::put_status(&mut out, "replication_role", role);
                 wire::put_row(&mut out, id.as_bytes());
