The last guard of refusals covers classes whose repeats are discarded in a group or zone only

Cause: Core::answer turned a refusal of what may have run into a failure for classes that must not run twice. Where repeats are discarded in one group or zone only, a refusal is as untrue; the module keeps that, the guard behind it did not. Change: the guard goes by effect and scope.

--- a/core/src/core.rs
+++ b/core/src/core.rs
@@ -87,7 +87,8 @@
 struct Request {
     origin: Key,
     class: usize,
-    unsafe_to_repeat: bool,
+    /// Once an attempt may have run, that trying again is harmless would be untrue.
+    binds_refusals: bool,
     /// Its final answer is still owed.
     open: bool,
     /// Some attempt may have run.
@@ -223,14 +224,20 @@
 
     /// Takes a request on. It is owed one final answer, through `Command::Answer` or `ended`.
     pub fn request(&mut self, origin: Key, mut demand: Demand) -> Key {
-        let unsafe_to_repeat = self.classes[demand.class].effect == Effect::AtMostOnce;
+        let figures = &self.classes[demand.class];
+        let binds_refusals = match figures.effect {
+            Effect::Idempotent => false,
+            // A client's repeat may reach nodes beyond those that discard it.
+            Effect::Deduplicated => figures.scope != RepeatScope::All,
+            Effect::AtMostOnce => true,
+        };
         let class = demand.class;
         let Ok(key) = self.requests.insert_with(|_| {
             let attempts = Vec::new();
             Ok::<_, std::convert::Infallible>(Request {
                 origin,
                 class,
-                unsafe_to_repeat,
+                binds_refusals,
                 open: true,
                 may_have_run: false,
                 attempts,
@@ -439,7 +446,7 @@
         let Some(r) = self.requests.get_mut(request).filter(|r| r.open) else { return };
         r.open = false;
         // The last guard of the rule on refusals: what may have run, and must not run twice, is never called harmless.
-        let risky = r.unsafe_to_repeat && (r.may_have_run || r.attempts.iter().any(|a| a.out() && a.written));
+        let risky = r.binds_refusals && (r.may_have_run || r.attempts.iter().any(|a| a.out() && a.written));
         let answer = if risky && answer != Answer::Failed {
             warn!(request = request.number(), "a refusal was turned into a failure: the write may have run");
             Answer::Failed
--- a/core/src/core/tests.rs
+++ b/core/src/core/tests.rs
@@ -6,6 +6,11 @@
 
 /// A core with one write on its way to the primary.
 fn writing() -> (Core, AttemptId) {
+    writing_of(Effect::AtMostOnce, RepeatScope::Group)
+}
+
+/// The same, of a class of this effect.
+fn writing_of(effect: Effect, scope: RepeatScope) -> (Core, AttemptId) {
     let class = Class {
         name: "book".into(),
         access: Access::Write,
@@ -14,8 +19,8 @@
         deadline: 5_000_000,
         worth: 1.0,
         late_worth: 0.0,
-        effect: Effect::AtMostOnce,
-        scope: RepeatScope::Group,
+        effect,
+        scope,
         window: 0,
         stream: false,
     };
@@ -47,6 +52,33 @@
     assert_eq!(answers(&core.commands), [Answer::Failed], "one answer, and no refusal");
 }
 
+#[test]
+fn what_may_have_run_is_called_harmless_only_where_repeats_are() {
+    // Danger: where repeats are discarded in one group or zone only, a client that is told to come again runs it twice.
+    use Effect::{AtMostOnce, Deduplicated, Idempotent};
+    let cases = [
+        (Idempotent, RepeatScope::Group, true),
+        (Deduplicated, RepeatScope::All, true),
+        (Deduplicated, RepeatScope::Zone, false),
+        (Deduplicated, RepeatScope::Group, false),
+        (AtMostOnce, RepeatScope::All, false),
+    ];
+    for (effect, scope, harmless) in cases {
+        let (mut core, attempt) = writing_of(effect, scope);
+        core.written(attempt);
+        core.answer(attempt.request, Answer::Refused(None));
+        let want = if harmless { Answer::Refused(None) } else { Answer::Failed };
+        assert_eq!(answers(&core.commands), [want], "{effect:?} {scope:?}");
+        let (mut core, attempt) = writing_of(effect, scope);
+        core.answer(attempt.request, Answer::Refused(None));
+        assert_eq!(
+            answers(&core.commands),
+            [Answer::Refused(None)],
+            "{effect:?} {scope:?}: nothing was written"
+        );
+    }
+}
+
 #[test]
 fn an_attempt_that_was_never_written_whole_did_not_run() {
     let (mut core, attempt) = writing();
