Rename: the vigil is the watch's schedule

Need: names follow the standard terms of the field. Change: Vigil is WatchSchedule, core/src/vigil.rs watch_schedule.rs, its test file likewise, whole; nothing else.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -6,10 +6,10 @@
 mod core;
 mod deadlines;
 mod table;
-mod vigil;
+mod watch_schedule;
 
 pub use crate::backoff::*;
 pub use crate::core::*;
 pub use crate::deadlines::*;
 pub use crate::table::*;
-pub use crate::vigil::*;
+pub use crate::watch_schedule::*;
--- a/core/src/vigil.rs
+++ b/core/src/watch_schedule.rs
@@ -59,7 +59,7 @@
 
 /// The waits of one router's watch.
 #[derive(Clone, Debug)]
-pub struct Vigil {
+pub struct WatchSchedule {
     turn: Span,
     /// What a turn keeps free for a pause.
     rest: Span,
@@ -76,11 +76,11 @@
     backoff: Backoff,
 }
 
-impl Vigil {
+impl WatchSchedule {
     /// Before the first call; routers need different seeds.
     pub fn new(lists: Lists, seed: u64) -> Self {
         let (rest, first, longest) = lists.pauses();
-        Vigil {
+        WatchSchedule {
             turn: lists.turn(),
             rest,
             late: 0,
--- a/core/tests/vigil.rs
+++ b/core/tests/watch_schedule.rs
@@ -1,7 +1,7 @@
 //! The waits of a watch, held against the one clock: call by call, and over drawn sequences of whatever discovery does.
 
 use plovercove::{Span, Time};
-use plovercove_core::{Lists, Vigil};
+use plovercove_core::{Lists, WatchSchedule};
 
 const S: Span = 1_000_000;
 const MS: Span = 1_000;
@@ -14,12 +14,12 @@
 fn a_silence_is_over_and_the_watch_begun_anew_within_the_clock_by_which_a_router_counts_as_told() {
     // Stricter than it was: no wait prolongs the clock any more, and a second for the next call's answer is left.
     for seed in 0..200 {
-        let mut vigil = Vigil::new(Lists::Asked, seed);
-        let (_, until) = vigil.call(0, true);
-        vigil.answered(1_000, true);
+        let mut schedule = WatchSchedule::new(Lists::Asked, seed);
+        let (_, until) = schedule.call(0, true);
+        schedule.answered(1_000, true);
         assert!(until <= 5 * S);
-        let (_, until) = vigil.call(1_000, true);
-        let again = vigil.silent(until);
+        let (_, until) = schedule.call(1_000, true);
+        let again = schedule.silent(until);
         assert!(again <= 5 * S + 1_000, "seed {seed}: called again at {again}");
     }
 }
@@ -27,13 +27,13 @@
 #[test]
 fn patience_grows_while_answers_are_late_and_shrinks_when_they_are_prompt_again() {
     // Waits of up to 20 s, which late answers led to, were past the clock: patience grows in the place of waits now.
-    let (mut vigil, mut now, mut patience) = (Vigil::new(Lists::Asked, 1), 0, Vec::new());
+    let (mut schedule, mut now, mut patience) = (WatchSchedule::new(Lists::Asked, 1), 0, Vec::new());
     for late in [0, 0, S, S, S, S, 0, 0, 0, 0, 0, 0, 0] {
-        let (wait, until) = vigil.call(now, true);
+        let (wait, until) = schedule.call(now, true);
         patience.push((until - now - wait) / MS);
         now += wait + late;
         assert!(now <= until, "an answer {late} us late is waited for");
-        vigil.answered(now, false);
+        schedule.answered(now, false);
     }
     assert!(patience[..3].iter().all(|p| *p <= 1_500), "{patience:?}");
     assert!(patience[6] >= 1_800 && patience[12] <= 1_500, "{patience:?}");
@@ -42,17 +42,17 @@
 #[test]
 fn refusals_make_calls_rarer_and_silence_makes_patience_longer() {
     // Rarer by pauses, up to the clock: a longer wait of the call after them was past it.
-    let mut vigil = Vigil::new(Lists::Asked, 2);
+    let mut schedule = WatchSchedule::new(Lists::Asked, 2);
     let mut refused = || {
-        vigil.call(0, true);
-        vigil.failed(0)
+        schedule.call(0, true);
+        schedule.failed(0)
     };
     let pauses = [refused(), refused(), refused(), refused()];
     assert!(pauses[0] <= S && pauses[3] > 5 * S / 2 && pauses[3] <= 5 * S, "{pauses:?}");
-    let mut vigil = Vigil::new(Lists::Asked, 2);
+    let mut schedule = WatchSchedule::new(Lists::Asked, 2);
     let mut patience = || {
-        let (wait, until) = vigil.call(0, true);
-        vigil.silent(until);
+        let (wait, until) = schedule.call(0, true);
+        schedule.silent(until);
         until - wait
     };
     assert_eq!([patience(), patience(), patience()], [1_500 * MS, 3_000 * MS, 3_375 * MS]);
@@ -60,7 +60,7 @@
 
 #[test]
 fn calls_of_many_routers_do_not_end_together() {
-    let ends = |seed| Vigil::new(Lists::Asked, seed).call(0, true).0;
+    let ends = |seed| WatchSchedule::new(Lists::Asked, seed).call(0, true).0;
     let (least, most) = ((0..300).map(ends).min(), (0..300).map(ends).max());
     assert!(most.zip(least).is_some_and(|(most, least)| most - least > 400_000), "{least:?} to {most:?}");
 }
@@ -68,33 +68,33 @@
 #[test]
 fn a_spoilt_list_is_asked_for_again_at_once_but_not_without_end() {
     for lists in [Lists::Asked, Lists::Pushed { grace: S }] {
-        let mut vigil = Vigil::new(lists, 3);
-        vigil.call(0, true);
-        assert_eq!(vigil.spoilt(100), 100, "news may stand in it");
+        let mut schedule = WatchSchedule::new(lists, 3);
+        schedule.call(0, true);
+        assert_eq!(schedule.spoilt(100), 100, "news may stand in it");
         let mut now = 100;
         for _ in 0..50 {
-            vigil.call(now, false);
-            let next = vigil.spoilt(now + 10);
+            schedule.call(now, false);
+            let next = schedule.spoilt(now + 10);
             assert!(next >= now + 50 * MS, "{lists:?}: again after {} us", next - now);
             now = next;
         }
-        vigil.call(now, false);
-        vigil.answered(now, true);
-        vigil.call(now, true);
-        assert_eq!(vigil.spoilt(now), now, "a good list lies between");
+        schedule.call(now, false);
+        schedule.answered(now, true);
+        schedule.call(now, true);
+        assert_eq!(schedule.spoilt(now), now, "a good list lies between");
     }
 }
 
 #[test]
 fn an_agent_that_answers_a_watch_at_once_with_nothing_new_does_not_make_the_loop_spin() {
     for lists in [Lists::Asked, Lists::Pushed { grace: S }] {
-        let mut vigil = Vigil::new(lists, 4);
-        vigil.call(0, true);
-        let next = vigil.answered(10, false);
+        let mut schedule = WatchSchedule::new(lists, 4);
+        schedule.call(0, true);
+        let next = schedule.answered(10, false);
         // 200 ms are what a watch allows for.
         assert!((50 * MS..200 * MS).contains(&next), "{lists:?}: {next}");
-        vigil.call(next, true);
-        assert_eq!(vigil.answered(next + 10, true), next + 10, "news is followed at once");
+        schedule.call(next, true);
+        assert_eq!(schedule.answered(next + 10, true), next + 10, "news is followed at once");
     }
 }
 
@@ -102,11 +102,11 @@
 fn a_connection_that_comes_up_late_does_not_prolong_the_turn() {
     for (lists, turn) in [(Lists::Asked, 5 * S), (Lists::Pushed { grace: 800 * MS }, 700 * MS)] {
         for seed in 0..200 {
-            let mut vigil = Vigil::new(lists, seed);
-            let up = vigil.connect(0);
+            let mut schedule = WatchSchedule::new(lists, seed);
+            let up = schedule.connect(0);
             assert!(up <= turn / 4, "{lists:?}: a connection is waited for up to {up}");
-            let (_, until) = vigil.call(up, true);
-            let again = vigil.silent(until);
+            let (_, until) = schedule.call(up, true);
+            let again = schedule.silent(until);
             assert!(again <= turn, "{lists:?}, seed {seed}: called again at {again}");
         }
     }
@@ -115,15 +115,15 @@
 #[test]
 fn a_service_that_always_answers_late_is_heard() {
     // Danger: with patience that stays, one that takes 3 s longer than the wait would never be.
-    let (mut vigil, mut now, mut heard) = (Vigil::new(Lists::Asked, 7), 0, 0);
+    let (mut schedule, mut now, mut heard) = (WatchSchedule::new(Lists::Asked, 7), 0, 0);
     for _ in 0..20 {
-        let (wait, until) = vigil.call(now, true);
+        let (wait, until) = schedule.call(now, true);
         let comes = now + wait + 3 * S;
         if comes <= until {
             heard += 1;
-            now = vigil.answered(comes, false);
+            now = schedule.answered(comes, false);
         } else {
-            now = vigil.silent(until);
+            now = schedule.silent(until);
         }
     }
     assert!(heard >= 15, "{heard} of 20 answers were waited for");
@@ -131,14 +131,14 @@
 
 #[test]
 fn after_sighup_what_failed_before_counts_no_more() {
-    let mut vigil = Vigil::new(Lists::Asked, 5);
+    let mut schedule = WatchSchedule::new(Lists::Asked, 5);
     for _ in 0..6 {
-        vigil.call(0, true);
-        vigil.failed(0);
+        schedule.call(0, true);
+        schedule.failed(0);
     }
-    vigil.moved();
-    vigil.call(0, true);
-    assert!(vigil.failed(0) <= S);
+    schedule.moved();
+    schedule.call(0, true);
+    assert!(schedule.failed(0) <= S);
 }
 
 /// Random numbers of the checker's own (xorshift64*).
@@ -223,42 +223,43 @@
     let version = |now: Time| changes.iter().filter(|c| **c <= now).count();
     let mut heard: Vec<(usize, Time)> = vec![(0, 0)];
     let mut judged = vec![];
-    let (mut vigil, mut now, mut connected, mut whole) = (Vigil::new(lists, seed), 0, false, false);
+    let (mut schedule, mut now, mut connected, mut whole) =
+        (WatchSchedule::new(lists, seed), 0, false, false);
     while now < end {
         let begun = now;
         if !connected {
-            let until = vigil.connect(now);
+            let until = schedule.connect(now);
             let up = now + dice.between(1, near.up);
             match weather(now) {
                 Weather::Dark => {
-                    now = vigil.failed(until);
+                    now = schedule.failed(until);
                     continue;
                 }
                 Weather::Refuses => {
-                    now = vigil.failed(up.min(until));
+                    now = schedule.failed(up.min(until));
                     continue;
                 }
                 _ if up > until => {
-                    now = vigil.failed(until);
+                    now = schedule.failed(until);
                     continue;
                 }
                 _ => (now, connected) = (up, true),
             }
         }
         let known = heard.last().map_or(0, |h| h.0);
-        let (wait, until) = vigil.call(now, !whole);
+        let (wait, until) = schedule.call(now, !whole);
         let came = weather(now);
         // A connection that was begun in silence stays silent.
         if came != Weather::Fine || matches!(weather(begun), Weather::Silent | Weather::Late) {
             connected = false;
             now = match came {
-                Weather::Overbooked | Weather::Refuses => vigil.failed(now + dice.between(1, near.answer)),
-                Weather::Breaks => vigil.failed(dice.between(now, until)),
+                Weather::Overbooked | Weather::Refuses => schedule.failed(now + dice.between(1, near.answer)),
+                Weather::Breaks => schedule.failed(dice.between(now, until)),
                 Weather::Spoils => {
                     whole = true;
-                    vigil.spoilt(now + dice.between(1, near.answer))
+                    schedule.spoilt(now + dice.between(1, near.answer))
                 }
-                _ => vigil.silent(until),
+                _ => schedule.silent(until),
             };
             continue;
         }
@@ -271,26 +272,26 @@
             connected = false;
             now = match weather(ends) {
                 Weather::Refuses | Weather::Breaks | Weather::Overbooked => {
-                    vigil.failed(ends.clamp(now, until))
+                    schedule.failed(ends.clamp(now, until))
                 }
                 Weather::Spoils => {
                     whole = true;
-                    vigil.spoilt(ends.clamp(now, until))
+                    schedule.spoilt(ends.clamp(now, until))
                 }
-                _ => vigil.silent(until),
+                _ => schedule.silent(until),
             };
             continue;
         }
         let answered = told + dice.between(1, near.answer);
         if answered > until {
             connected = false;
-            now = vigil.silent(until);
+            now = schedule.silent(until);
             continue;
         }
         let news = whole || version(told) > known;
         heard.push((version(told), answered));
         whole = false;
-        now = vigil.answered(answered, news);
+        now = schedule.answered(answered, news);
     }
     for (number, change) in changes.iter().enumerate() {
         // From when on it could be reached, up to when the router knew it: the last time that it became fine by then.
@@ -355,13 +356,13 @@
     const ROUTERS: u64 = 300;
     let mut calls = vec![0_u64; 600];
     for router in 0..ROUTERS {
-        let mut vigil = Vigil::new(Lists::Asked, router * 0x1234_5677 + 1);
-        vigil.call(0, true);
-        let mut now = vigil.failed(S);
+        let mut schedule = WatchSchedule::new(Lists::Asked, router * 0x1234_5677 + 1);
+        schedule.call(0, true);
+        let mut now = schedule.failed(S);
         while let Some(count) = calls.get_mut((now / (S / 10)) as usize) {
             *count += 1;
-            vigil.connect(now);
-            now = vigil.failed(now + MS);
+            schedule.connect(now);
+            now = schedule.failed(now + MS);
         }
     }
     let seconds: Vec<u64> = calls.windows(10).map(|w| w.iter().sum()).collect();
@@ -377,12 +378,12 @@
 #[test]
 fn where_lists_are_pushed_a_silent_agent_is_called_again_before_the_grace_is_over_and_not_without_end() {
     for grace in [0, 1, 500 * MS, S, 1_500 * MS, 3_600 * S] {
-        let mut vigil = Vigil::new(Lists::Pushed { grace }, 6);
+        let mut schedule = WatchSchedule::new(Lists::Pushed { grace }, 6);
         let mut now = 0;
         for _ in 0..100 {
-            vigil.connect(now);
-            let (_, until) = vigil.call(now, true);
-            let next = vigil.silent(until);
+            schedule.connect(now);
+            let (_, until) = schedule.call(now, true);
+            let next = schedule.silent(until);
             let took = next - now;
             assert!((100 * MS..=5 * S).contains(&took), "{grace}: {took}");
             assert!(took < grace.max(150 * MS), "{grace}: {took}");
--- a/router/src/discovery.rs
+++ b/router/src/discovery.rs
@@ -1,14 +1,14 @@
 //! Discovery: the list of db nodes, watched over HTTP at the agent on this machine.
 //!
 //! A watch goes on as long as each call follows the last answer within 200 ms, so the next call is written in the turn in
-//! which an answer was read; `Vigil` says when else to call. An agent that is silent or refuses leaves the list as it is.
+//! which an answer was read; `WatchSchedule` says when else to call. An agent that is silent or refuses leaves the list as it is.
 
 use crate::clock;
 use crate::net::budget::Budget;
 use crate::net::stream::{Peer, Stream};
 use crate::net::{Source, begin_connect, poll_key};
 use plovercove::{Listed, NodeEntry, Time};
-use plovercove_core::{Core, Due, Vigil};
+use plovercove_core::{Core, Due, WatchSchedule};
 use plovercove_poller::{Interest, Poll};
 use plovercove_settings::{Fault, Part, Read, Value, flag, list, number, parse, text, whole};
 use std::io;
@@ -167,12 +167,12 @@
     named: bool,
     /// The status that was not known the last time.
     odd: Option<String>,
-    vigil: Vigil,
+    schedule: WatchSchedule,
 }
 
 impl Discovery {
     /// A watch that has not begun, from this version of the list on, if one is known.
-    pub fn new(poll: &Poll, agent: SocketAddr, index: Option<u64>, vigil: Vigil) -> Self {
+    pub fn new(poll: &Poll, agent: SocketAddr, index: Option<u64>, schedule: WatchSchedule) -> Self {
         Discovery {
             poll: poll.clone(),
             agent,
@@ -183,7 +183,7 @@
             failing: false,
             named: index.is_some(),
             odd: None,
-            vigil,
+            schedule,
         }
     }
 
@@ -200,7 +200,7 @@
             (self.agent, self.index, self.failing) = (agent, None, false);
         }
         self.stream = None;
-        self.vigil.moved();
+        self.schedule.moved();
         self.call(now, core);
     }
 
@@ -220,7 +220,7 @@
         if self.stream.is_some() {
             return self.request(now, core);
         }
-        let until = self.vigil.connect(now);
+        let until = self.schedule.connect(now);
         match self.connect() {
             Ok(stream) => {
                 self.stream = Some(stream);
@@ -232,7 +232,7 @@
 
     /// Writes the call to the connection, which is up.
     fn request(&mut self, now: Time, core: &mut Core) {
-        let (wait, until) = self.vigil.call(now, self.index.is_some());
+        let (wait, until) = self.schedule.call(now, self.index.is_some());
         let path = match self.index {
             Some(index) => format!("/api/targets?after={index}&wait_ms={}", clock::to_ms(wait)),
             None => "/api/targets".to_string(),
@@ -258,12 +258,12 @@
         }
         self.stream = None;
         let at = match trouble {
-            Trouble::Silent if self.phase == Phase::Calling => self.vigil.silent(now),
+            Trouble::Silent if self.phase == Phase::Calling => self.schedule.silent(now),
             Trouble::Silent
             | Trouble::Connect(_)
             | Trouble::Unreachable
             | Trouble::Closed
-            | Trouble::Status(_) => self.vigil.failed(now),
+            | Trouble::Status(_) => self.schedule.failed(now),
             // Something was answered, and may have held news.
             Trouble::NotHttp(_)
             | Trouble::Length(_)
@@ -272,7 +272,7 @@
             | Trouble::List(_)
             | Trouble::Nobody
             | Trouble::Older(_)
-            | Trouble::Odd(_) => self.vigil.spoilt(now),
+            | Trouble::Odd(_) => self.schedule.spoilt(now),
         };
         debug!(%trouble, pause = at - now, "a call of discovery failed");
         self.wait(Phase::Resting, at, core);
@@ -315,7 +315,7 @@
         let news = self.index != Some(listing.index);
         self.named |= !listing.entries.is_empty();
         self.index = Some(listing.index);
-        match self.vigil.answered(now, news) {
+        match self.schedule.answered(now, news) {
             at if at > now => self.wait(Phase::Resting, at, core),
             // In the same turn: the watch goes on.
             _ => self.call(now, core),
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -12,7 +12,7 @@
 use crate::peers::{self, Talk};
 use crate::upstream::pg::Upstream;
 use plovercove::{ListUpdate, Listed, Time, Zoning};
-use plovercove_core::{Command, Core, Due, Lists, Vigil};
+use plovercove_core::{Command, Core, Due, Lists, WatchSchedule};
 use plovercove_peers::Witness;
 use plovercove_poller::{Events, Poll};
 use plovercove_settings::Names;
@@ -90,7 +90,7 @@
                 settings.connect_timeout,
                 settings.connection_idle,
             ),
-            discovery: Discovery::new(&poll, config.discovery, index, Vigil::new(lists, config.seed)),
+            discovery: Discovery::new(&poll, config.discovery, index, WatchSchedule::new(lists, config.seed)),
             core: match zoning {
                 Some(zoning) => Core::new(settings, config.seed).zoned(zoning),
                 None => Core::new(settings, config.seed),
