After a move, routers that share discovery call it over half a second, not in one instant

Cause: on SIGHUP `Discovery::move_to` called in the same turn, so all routers that are told together call together: 300 calls in one tenth of a second, where the schedule's own bound for watches that break in one instant is a third of them (its test `three_hundred_watches_...`). Whether the operators' discovery overruns by that was not measured.

Change: `WatchSchedule::moved` says when to call: drawn over a tenth of the turn, 0.5 s, where lists are asked for, and never past the turn that has begun; at once where an agent of one's own is asked. A call that is lost is still made again in time for the 4 s after SIGHUP, with half a second left for its answer.

--- a/core/src/watch_schedule.rs
+++ b/core/src/watch_schedule.rs
@@ -55,12 +55,23 @@
             Lists::Pushed { .. } => (turn / 7, turn / 7, turn / 7),
         }
     }
+
+    /// Over how long the first calls after a move are spread. What the new service has counts as told 4 s after it: with
+    /// half a second a lost call and its pause fit in, too. An agent of one's own is called at once.
+    fn spread(self) -> Span {
+        match self {
+            Lists::Asked => self.turn() / 10,
+            Lists::Pushed { .. } => 0,
+        }
+    }
 }
 
 /// The waits of one router's watch.
 #[derive(Clone, Debug)]
 pub struct WatchSchedule {
     turn: Span,
+    /// Over how long calls are spread that all routers make for one cause.
+    spread: Span,
     /// What a turn keeps free for a pause.
     rest: Span,
     /// How late answers are, of late.
@@ -82,6 +93,7 @@
         let (rest, first, longest) = lists.pauses();
         WatchSchedule {
             turn: lists.turn(),
+            spread: lists.spread(),
             rest,
             late: 0,
             began: 0,
@@ -157,9 +169,12 @@
         self.backoff.failed_within(now, (self.began + self.turn).saturating_sub(now))
     }
 
-    /// The next call goes to another service, or to one that is said to be well: what failed before counts no more.
-    pub fn moved(&mut self) {
+    /// The next call goes to another service, or to one that is said to be well: what failed before counts no more. Returns
+    /// when to make it: soon, and within the turn that has begun.
+    pub fn moved(&mut self, now: Time) -> Time {
         (self.late, self.connecting, self.spoilt) = (0, false, false);
         self.backoff.answered();
+        // Danger: all routers are told in one instant, and would call a service that they share in it.
+        now + self.backoff.below(self.spread).min((self.began + self.turn).saturating_sub(now))
     }
 }
--- a/core/tests/watch_schedule.rs
+++ b/core/tests/watch_schedule.rs
@@ -136,11 +136,50 @@
         schedule.call(0, true);
         schedule.failed(0);
     }
-    schedule.moved();
+    schedule.moved(0);
     schedule.call(0, true);
     assert!(schedule.failed(0) <= S);
 }
 
+#[test]
+fn three_hundred_routers_that_are_told_of_a_move_in_one_instant_do_not_call_in_one() {
+    // The bound of those whose watches break in one instant: no tenth of a second sees more than a third of them.
+    const ROUTERS: u64 = 300;
+    const MOVED: Span = 4 * S;
+    let mut calls = [0_u64; 40];
+    for router in 0..ROUTERS {
+        let mut schedule = WatchSchedule::new(Lists::Asked, router * 0x1234_5677 + 1);
+        schedule.call(0, true);
+        let now = S;
+        let first = schedule.moved(now);
+        calls[((first - now) / (S / 10)) as usize] += 1;
+        // Its connection takes 50 ms; the call, for the whole list, is lost; half a second is left for the next answer.
+        schedule.connect(first);
+        let (_, until) = schedule.call(first + 50 * MS, false);
+        let again = schedule.silent(until);
+        assert!(again + 500 * MS <= now + MOVED, "the second call comes {} us after the move", again - now);
+    }
+    println!("{:?}", &calls[..10]);
+    assert!(calls.iter().all(|n| *n <= ROUTERS / 3), "{calls:?}");
+}
+
+#[test]
+fn a_move_prolongs_no_turn_and_one_s_own_agent_is_called_at_once() {
+    for seed in 0..200 {
+        let mut schedule = WatchSchedule::new(Lists::Asked, seed);
+        schedule.connect(7 * S);
+        schedule.call(7 * S, true);
+        let next = schedule.moved(12 * S - 100 * MS);
+        assert!(next <= 12 * S, "seed {seed}: called {} us after the last call", next - 7 * S);
+        assert_eq!(schedule.moved(13 * S), 13 * S, "the turn is over");
+        for grace in GRACES {
+            let mut schedule = WatchSchedule::new(Lists::Pushed { grace }, seed);
+            schedule.call(7 * S, true);
+            assert_eq!(schedule.moved(7 * S + 1), 7 * S + 1);
+        }
+    }
+}
+
 /// Random numbers of the checker's own (xorshift64*).
 struct Dice(u64);
 
--- a/router/src/discovery.rs
+++ b/router/src/discovery.rs
@@ -192,16 +192,18 @@
         self.call(now, core);
     }
 
-    /// Goes on at the agent that a new configuration names, and calls it at once: what it has counts as told soon, also
-    /// where it is the same one and a pause or a call that has fallen silent would be sat out first. The list stays until
-    /// another agent has told its own, whole: its versions may be counted differently.
+    /// Goes on at the agent that a new configuration names, and calls it soon: what it has counts as told soon, also where
+    /// it is the same one and a pause or a call that has fallen silent would be sat out first. The list stays until another
+    /// agent has told its own, whole: its versions may be counted differently.
     pub fn move_to(&mut self, agent: SocketAddr, now: Time, core: &mut Core) {
         if agent != self.agent {
             (self.agent, self.index, self.failing) = (agent, None, false);
         }
         self.stream = None;
-        self.schedule.moved();
-        self.call(now, core);
+        match self.schedule.moved(now) {
+            at if at > now => self.wait(Phase::Resting, at, core),
+            _ => self.call(now, core),
+        }
     }
 
     fn connect(&self) -> io::Result<Stream> {
