--- a/standin/src/rough.rs
+++ b/standin/src/rough.rs
@@ -5,7 +5,7 @@
 use std::collections::HashMap;
 use std::io::{self, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -30,6 +30,8 @@
     Resets(String),
     /// Answers twice, in one write.
     Twice(String, String),
+    /// Resets the connection and says nothing.
+    Breaks,
 }
 
 /// A call that waits for its part of the script looks so often whether the router still waits for it.
@@ -55,6 +57,7 @@
     address: SocketAddr,
     script: Arc<(Mutex<Vec<Says>>, Condvar)>,
     calls: Arc<Mutex<Vec<Call>>>,
+    down: Arc<AtomicBool>,
 }
 
 /// A call as the agent saw it.
@@ -78,17 +81,28 @@
             address: listener.local_addr()?,
             script: Arc::new((Mutex::new(script), Condvar::new())),
             calls: Arc::default(),
+            down: Arc::default(),
         };
-        let (script, calls) = (agent.script.clone(), agent.calls.clone());
+        let (script, calls, down) = (agent.script.clone(), agent.calls.clone(), agent.down.clone());
         std::thread::spawn(move || {
             while let Ok((connection, _)) = listener.accept() {
-                let (script, calls) = (script.clone(), calls.clone());
-                std::thread::spawn(move || drop(Self::serve(connection, &script, &calls)));
+                let (script, calls, down) = (script.clone(), calls.clone(), down.clone());
+                std::thread::spawn(move || drop(Self::serve(connection, &script, &calls, &down)));
             }
         });
         Ok(agent)
     }
 
+    /// From now on it resets its connections, and every new one at once.
+    pub fn goes_down(&self) {
+        self.down.store(true, Ordering::SeqCst);
+    }
+
+    /// It takes connections in again.
+    pub fn returns(&self) {
+        self.down.store(false, Ordering::SeqCst);
+    }
+
     /// Where it listens.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -123,7 +137,11 @@
 
     fn serve(
         connection: TcpStream, script: &(Mutex<Vec<Says>>, Condvar), calls: &Mutex<Vec<Call>>,
+        down: &AtomicBool,
     ) -> io::Result<()> {
+        if down.load(Ordering::SeqCst) {
+            return socket2::SockRef::from(&connection).set_linger(Some(Duration::ZERO));
+        }
         let mut reader = BufReader::new(connection.try_clone()?);
         let mut writer = connection;
         loop {
@@ -145,6 +163,9 @@
                 if !waits(&writer) {
                     return Ok(());
                 }
+                if down.load(Ordering::SeqCst) {
+                    return socket2::SockRef::from(&writer).set_linger(Some(Duration::ZERO));
+                }
                 if let Some(says) = left.pop() {
                     break says;
                 }
@@ -183,6 +204,10 @@
                     // Closed with nothing lingering: a reset, once the last owner goes.
                     return socket2::SockRef::from(&writer).set_linger(Some(Duration::ZERO));
                 }
+                Says::Breaks => {
+                    said();
+                    return socket2::SockRef::from(&writer).set_linger(Some(Duration::ZERO));
+                }
                 Says::Twice(one, two) => {
                     let both = [head(one.len()), one, head(two.len()), two].concat();
                     writer.write_all(both.as_bytes())?;
