Rename: what the router is to its db nodes are its connect options

`Manners` held a login and whether cancels are sent: `ConnectOptions`, with `credentials`; the field and the reader in `operators` follow.

--- a/router/src/operators.rs
+++ b/router/src/operators.rs
@@ -5,7 +5,7 @@
 use crate::error::{Error, KeyFault, Wrong};
 use crate::front::entry::{Defaults, Terms};
 use crate::peers;
-use crate::upstream::pg::Manners;
+use crate::upstream::pg::ConnectOptions;
 use plovercove::{Access, Settings};
 use plovercove_dialect::Version;
 use plovercove_dialect::door::{self, Method};
@@ -155,7 +155,7 @@
     /// Further listeners.
     pub fronts: Vec<(SocketAddr, Terms)>,
     /// Who the router is to its db nodes.
-    pub manners: Manners,
+    pub connect_options: ConnectOptions,
     /// How it talks with other routers, if it does.
     pub peers: Option<peers::Terms>,
 }
@@ -163,7 +163,7 @@
 impl Told {
     /// What holds without a file.
     pub fn nothing() -> Self {
-        Told { tiers: None, fronts: Vec::new(), manners: Manners::platform(), peers: None }
+        Told { tiers: None, fronts: Vec::new(), connect_options: ConnectOptions::platform(), peers: None }
     }
 }
 
@@ -284,7 +284,7 @@
             rules.check().map_err(of_tiers).map_err(placed)?;
         }
         told.fronts(path, None).map_err(placed)?;
-        told.manners(path).map_err(placed)?;
+        told.connect_options(path).map_err(placed)?;
         told.peers(path, None).map_err(placed)?;
         Ok((told, script))
     }
@@ -302,8 +302,8 @@
         Ok(all)
     }
 
-    fn manners(&self, path: &Path) -> Result<Manners, KeyFault> {
-        let Some(told) = &self.servers else { return Ok(Manners::platform()) };
+    fn connect_options(&self, path: &Path) -> Result<ConnectOptions, KeyFault> {
+        let Some(told) = &self.servers else { return Ok(ConnectOptions::platform()) };
         if told.version == Version::V2 {
             return Err(KeyFault::new("servers.version", Wrong::Version));
         }
@@ -314,7 +314,7 @@
         let password = told.password_file.as_ref().map(read).transpose()?;
         let password = password.map(|text| text.trim_end_matches(['\r', '\n']).to_string());
         let (user, database) = (told.user.clone(), told.database.clone());
-        let login = Credentials {
+        let credentials = Credentials {
             user,
             database,
             password,
@@ -322,7 +322,7 @@
             version: told.version,
             welcome: false,
         };
-        Ok(Manners { login, cancels: told.cancel })
+        Ok(ConnectOptions { credentials, cancels: told.cancel })
     }
 
     fn peers(&self, path: &Path, settings: Option<&Settings>) -> Result<Option<peers::Terms>, KeyFault> {
@@ -402,7 +402,7 @@
         Ok(Told {
             tiers: told.tiers(&self.settings, self.seed).map_err(here)?,
             fronts: told.fronts(&self.path, Some(&self.settings)).map_err(here)?,
-            manners: told.manners(&self.path).map_err(here)?,
+            connect_options: told.connect_options(&self.path).map_err(here)?,
             peers: told.peers(&self.path, Some(&self.settings)).map_err(here)?,
         })
     }
@@ -499,7 +499,7 @@
             twice.fronts(nothing, None).is_err_and(|e| e.to_string().contains("another front has it too"))
         );
         std::fs::remove_file(&users).expect("just written");
-        let newer = Operators::manners(
+        let newer = Operators::connect_options(
             &Operators {
                 servers: Some(Servers {
                     user: "u".into(),
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -53,7 +53,7 @@
     pub fn new(
         config: Config, told: operators::Told, operators: Option<operators::Source>, mut signals: Signals,
     ) -> Result<Self, Error> {
-        let operators::Told { tiers, fronts, manners, peers } = told;
+        let operators::Told { tiers, fronts, connect_options, peers } = told;
         let poll = Poll::new()?;
         if peers.is_some() {
             signals.catch_tell()?;
@@ -85,7 +85,7 @@
             upstream: Upstream::new(
                 &poll,
                 &budget,
-                manners,
+                connect_options,
                 config.backends,
                 settings.connect_timeout,
                 settings.connection_idle,
@@ -284,7 +284,7 @@
                     warn!(front = terms.name, %address, "SIGHUP: a further front needs a restart");
                 }
             }
-            self.upstream.change(told.manners);
+            self.upstream.change(told.connect_options);
             match (&mut self.peers, told.peers) {
                 (Some(peers), Some(terms)) => peers.change(terms),
                 (None, None) => {}
--- a/router/src/upstream/pg.rs
+++ b/router/src/upstream/pg.rs
@@ -78,17 +78,17 @@
 
 /// Who the router is to its db nodes, and whether it asks them to stop what nobody waits for.
 #[derive(Clone, Debug)]
-pub struct Manners {
+pub struct ConnectOptions {
     /// The login.
-    pub login: Credentials,
+    pub credentials: Credentials,
     /// Whether they are asked to stop.
     pub cancels: bool,
 }
 
-impl Manners {
+impl ConnectOptions {
     /// The platform's: one user, who is welcome without a password, and no cancels.
     pub fn platform() -> Self {
-        let login = Credentials {
+        let credentials = Credentials {
             user: "worker".into(),
             database: "catalog".into(),
             password: None,
@@ -96,7 +96,7 @@
             version: Version::V30,
             welcome: true,
         };
-        Manners { login, cancels: false }
+        ConnectOptions { credentials, cancels: false }
     }
 }
 
@@ -132,7 +132,7 @@
     most: usize,
     dial_timeout: Span,
     idle_for: Span,
-    manners: Manners,
+    options: ConnectOptions,
     cancelling: usize,
     served: Vec<Served>,
     heard: Vec<Heard>,
@@ -141,7 +141,7 @@
 impl Upstream {
     /// Pools without connections, for so many at the most.
     pub fn new(
-        poll: &Poll, budget: &Budget, manners: Manners, most: usize, dial_timeout: Span,
+        poll: &Poll, budget: &Budget, options: ConnectOptions, most: usize, dial_timeout: Span,
         node_closes_after: Span,
     ) -> Self {
         Upstream {
@@ -153,7 +153,7 @@
             most,
             dial_timeout,
             idle_for: node_closes_after * RETIRE.0 / RETIRE.1,
-            manners,
+            options,
             cancelling: 0,
             served: Vec::new(),
             heard: Vec::new(),
@@ -161,8 +161,8 @@
     }
 
     /// From now on it logs in so.
-    pub fn change(&mut self, manners: Manners) {
-        self.manners = manners;
+    pub fn change(&mut self, options: ConnectOptions) {
+        self.options = options;
     }
 
     /// The final answers that have come since the last call.
@@ -530,7 +530,7 @@
             match &mut backend.state {
                 State::Cancelling(packet) => backend.stream.put(|out| out.append(packet)),
                 state => {
-                    let login = backend.stream.put(|out| Login::start(&self.manners.login, out));
+                    let login = backend.stream.put(|out| Login::start(&self.options.credentials, out));
                     *state = State::Greeting(Box::new(login));
                 }
             }
@@ -584,7 +584,8 @@
                     false
                 })
             }
-            (State::Greeting(login), _) => match login.take(&self.manners.login, &message, &mut answer) {
+            (State::Greeting(login), _) => match login.take(&self.options.credentials, &message, &mut answer)
+            {
                 Ok(ready) => {
                     if ready {
                         backend.key = login.key().cloned();
@@ -684,7 +685,7 @@
             let wish = wish
                 .filter(|b| self.in_place(b))
                 .and_then(|b| b.key.clone())
-                .filter(|_| self.manners.cancels);
+                .filter(|_| self.options.cancels);
             self.drop_backend(key, core);
             if let Some(key) = wish.filter(|_| self.cancelling < CANCELS) {
                 let mut packet = Vec::new();
--- a/router/src/upstream/pg/tests.rs
+++ b/router/src/upstream/pg/tests.rs
@@ -88,7 +88,8 @@
 impl Pools {
     fn new(settings: Settings) -> Self {
         let poll = Poll::new().expect("a poller");
-        let upstream = Upstream::new(&poll, &Budget::new(1 << 26), Manners::platform(), 16, DIAL, IDLE);
+        let upstream =
+            Upstream::new(&poll, &Budget::new(1 << 26), ConnectOptions::platform(), 16, DIAL, IDLE);
         Pools {
             core: Core::new(settings, 1),
             poll,
--- a/router/tests/duties.rs
+++ b/router/tests/duties.rs
@@ -7,7 +7,7 @@
 use plovercove_router::chores::Ask;
 use plovercove_router::net::budget::Budget;
 use plovercove_router::net::{Source, split};
-use plovercove_router::upstream::pg::{Manners, Upstream};
+use plovercove_router::upstream::pg::{ConnectOptions, Upstream};
 use plovercove_standin::process::{Blow, Folder, Process};
 use plovercove_standin::trial::Trial;
 use plovercove_standin::{Agent, Caller, Entry, Fate};
@@ -363,7 +363,7 @@
     // those of the new owner; a node cannot tell them apart.
     let node = Trial::start(true).expect("a node");
     let (poll, budget) = (Poll::new().expect("a poller"), Budget::new(1 << 24));
-    let mut upstream = Upstream::new(&poll, &budget, Manners::platform(), 16, 1_000_000, 60_000_000);
+    let mut upstream = Upstream::new(&poll, &budget, ConnectOptions::platform(), 16, 1_000_000, 60_000_000);
     let mut core = Core::new(Settings::default(), 1);
     let id: NodeId = "s0".into();
     upstream.locate(&id, node.address(), &mut core);
