Tests: two that watched for a span wait for what the log and the router's end say

Seen: `who_sends_much_and_goes_...` counted what runs 100 ms after a close and again 400 ms after it, and `a_request_whose_client_has_gone_...` let 100 ms go by with the router stopped: spans, not conditions. What began after the second count, or was put off to later, went unseen.

Change: the first waits until the log says that the client's end was seen, has a write served after it, ends the router and reads the log to its end: after the line of the close nothing but that write is begun, up to the router's own end. The bound of 2 x 16 begun before it stays. Each ending has a router of its own, so that the line is its own client's. The second waits until the system's table of connections says that the other side has each request and the end behind it (`tests/arrival`), and counts at the router's end.

Both are as strict or stricter: nothing may begin at all after the close is seen.

--- a/router/tests/standing_clients.rs
+++ b/router/tests/standing_clients.rs
@@ -1,5 +1,6 @@
 //! Clients that leave or cancel, held against the operators' sentence on those that have gone: what waits is never sent on.
 
+mod arrival;
 #[allow(dead_code, reason = "each test of the standing test uses a part of it")]
 mod standing_fleet;
 
@@ -10,8 +11,6 @@
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
-/// A client must have gone for so long before an attempt counts as begun after it had.
-const GONE: Duration = Duration::from_millis(100);
 /// Queries of one connection that the router begins at a time.
 const PIPELINE: usize = 16;
 
@@ -98,9 +97,16 @@
 
 /// A router that serves on a list that its agent has told, and what must outlive it.
 fn served(name: &str, manners: [Manner; 3], sockets: u32) -> (Process, Vec<Node>, impl Sized) {
+    served_with(name, manners, sockets, "info")
+}
+
+/// The same, logging so much.
+fn served_with(
+    name: &str, manners: [Manner; 3], sockets: u32, log: &str,
+) -> (Process, Vec<Node>, impl Sized + use<>) {
     let (nodes, entries) = group(manners);
     let agent = Agent::start(vec![Says::Body(listing(42, &entries))]).expect("an agent");
-    let (router, folder) = Start { sockets, ..Start::before(name, &agent, &entries) }.run();
+    let (router, folder) = Start { sockets, ..Start::before(name, &agent, &entries) }.run_logging(log);
     assert!(agent.called(2, HANGS), "the list is followed");
     (router, nodes, (agent, folder))
 }
@@ -204,11 +210,12 @@
 #[test]
 fn who_sends_much_and_goes_has_nothing_begun_any_more() {
     // Danger: the end lies behind what there is no room to begin, and all of it would be sent on, one after the other.
-    let (router, nodes, _kept) = served("clients-much", [Manner::Slow; 3], 512);
-    let listen = router.listen();
-    for (number, ends) in ["close", "reset", "half"].into_iter().enumerate() {
+    for ends in ["close", "reset", "half"] {
+        let name = format!("clients-much-{ends}");
+        let (mut router, nodes, _kept) = served_with(&name, [Manner::Slow; 3], 512, "debug");
+        let listen = router.listen();
         let mut client = Raw::connect(listen);
-        let ids: Vec<String> = (0..400).map(|n| format!("{number:x}{n:04x}")).collect();
+        let ids: Vec<String> = (0..400).map(|n| format!("a{n:04x}")).collect();
         let mut all: Vec<u8> = ids.iter().flat_map(|id| query(&statement(id, "look"))).collect();
         if ends == "half" {
             all.truncate(all.len() - 9);
@@ -220,13 +227,24 @@
             socket2::SockRef::from(&client.stream).set_linger(now).expect("a linger");
         }
         drop(client);
-        let gone = Instant::now();
-        let begun = || ids.iter().filter(|id| ran(&nodes, id)).count();
-        wait_until("the time is over", || gone.elapsed() > GONE);
-        let before = begun();
-        serves_others(listen, &format!("e{number}"));
-        wait_until("a node has had time for more", || gone.elapsed() > 4 * GONE);
-        assert!(begun() == before && before <= 2 * PIPELINE, "{ends}: {before}, then {}", begun());
+        // The one client so far: what the log says after its end was decided after it.
+        assert!(router.says("closed client=", HANGS).is_some(), "{ends}");
+        // A write that is begun later, and all that the router does up to its own end, which comes once nothing is left to
+        // do.
+        let mut other = Raw::connect(listen);
+        other.query(&statement("b1", "book"));
+        assert_eq!(other.answer(), "row");
+        router.strike(Blow::Term);
+        assert!(router.ended(HANGS).is_some_and(|status| status.success()));
+        assert!(router.says("all is answered", HANGS).is_some(), "the log is read to its end");
+        let lines = router.lines();
+        let closed = lines.iter().position(|line| line.contains("closed client=")).expect("said above");
+        let begun = |line: &&String| line.contains("sent request=");
+        let late: Vec<&String> = lines[closed..].iter().filter(begun).collect();
+        assert!(late.len() == 1 && late[0].contains("class=\"book\""), "{ends}: {late:?}");
+        let begun = lines[..closed].iter().filter(begun).count();
+        let ran = ids.iter().filter(|id| ran(&nodes, id)).count();
+        assert!(ran <= begun && begun <= 2 * PIPELINE, "{ends}: {ran} of {begun} ran");
     }
 }
 
@@ -243,11 +261,15 @@
     for (n, mut client) in clients.into_iter().enumerate() {
         let startup = if n == 8 { &b"\0\0\0\x11\0\x03\0\0user\0me\0\0"[..] } else { b"" };
         client.write(&[startup, &query(&statement(&format!("f1{n:x}"), "look"))].concat());
+        let port = arrival::port(&client.stream);
+        drop(client);
+        arrival::acknowledged(port);
     }
-    let gone = Instant::now();
-    wait_until("the time is over", || gone.elapsed() > GONE);
     router.strike(Blow::Continue);
     serves_others(listen, "f2");
+    // What it was to begin it has begun by its own end.
+    router.strike(Blow::Term);
+    assert!(router.ended(HANGS).is_some_and(|status| status.success()));
     let begun: Vec<_> = (0..9).map(|n| format!("f1{n:x}")).filter(|id| ran(&nodes, id)).collect();
     assert!(begun.is_empty(), "sent on though the client had gone: {begun:?}");
 }
--- a/router/tests/standing_fleet/mod.rs
+++ b/router/tests/standing_fleet/mod.rs
@@ -86,10 +86,16 @@
 
     /// Starts it. The folder goes with its owner.
     pub fn run(&self) -> (Process, Folder) {
+        self.run_logging("info")
+    }
+
+    /// The same, logging so much.
+    pub fn run_logging(&self, log: &str) -> (Process, Folder) {
         let folder = Folder::new(self.name).expect("a folder");
         let file = folder.write("config.json", &self.config(&self.agent)).expect("a file");
         let program = Path::new(env!("CARGO_BIN_EXE_plovercove"));
-        (Process::start(program, &file, |command| command).expect("the router starts"), folder)
+        let router = Process::start(program, &file, |command| command.env("PROXY_LOG", log));
+        (router.expect("the router starts"), folder)
     }
 }
 
