Tests: who sends much and goes is seen to be gone before any answer makes room

Change: the primary holds what it is sent, so that nothing but the end itself can tell; at most 16, not 32, are begun before the log says that it was seen, and nothing after, up to the router's own end.

--- a/router/tests/standing_clients.rs
+++ b/router/tests/standing_clients.rs
@@ -209,14 +209,16 @@
 
 #[test]
 fn who_sends_much_and_goes_has_nothing_begun_any_more() {
-    // Danger: the end lies behind what there is no room to begin, and all of it would be sent on, one after the other.
+    // Danger: the end lies behind what there is no room to begin, and all of it would be sent on, one after the other. The
+    // primary holds all that it is sent, so that no answer makes room, and none fails to be passed on, before the end.
     for ends in ["close", "reset", "half"] {
         let name = format!("clients-much-{ends}");
-        let (mut router, nodes, _kept) = served_with(&name, [Manner::Slow; 3], 512, "debug");
+        let manners = [Manner::HoldsWork, Manner::Good, Manner::Good];
+        let (mut router, nodes, _kept) = served_with(&name, manners, 512, "debug");
         let listen = router.listen();
         let mut client = Raw::connect(listen);
         let ids: Vec<String> = (0..400).map(|n| format!("a{n:04x}")).collect();
-        let mut all: Vec<u8> = ids.iter().flat_map(|id| query(&statement(id, "look"))).collect();
+        let mut all: Vec<u8> = ids.iter().flat_map(|id| query(&statement(id, "book"))).collect();
         if ends == "half" {
             all.truncate(all.len() - 9);
         }
@@ -229,22 +231,22 @@
         drop(client);
         // The one client so far: what the log says after its end was decided after it.
         assert!(router.says("closed client=", HANGS).is_some(), "{ends}");
-        // A write that is begun later, and all that the router does up to its own end, which comes once nothing is left to
+        // A read that is begun later, and all that the router does up to its own end, which comes once nothing is left to
         // do.
         let mut other = Raw::connect(listen);
-        other.query(&statement("b1", "book"));
-        assert_eq!(other.answer(), "row");
+        other.query(&statement("b1", "look"));
+        other.answer();
         router.strike(Blow::Term);
         assert!(router.ended(HANGS).is_some_and(|status| status.success()));
         assert!(router.says("all is answered", HANGS).is_some(), "the log is read to its end");
         let lines = router.lines();
         let closed = lines.iter().position(|line| line.contains("closed client=")).expect("said above");
-        let begun = |line: &&String| line.contains("sent request=");
-        let late: Vec<&String> = lines[closed..].iter().filter(begun).collect();
-        assert!(late.len() == 1 && late[0].contains("class=\"book\""), "{ends}: {late:?}");
-        let begun = lines[..closed].iter().filter(begun).count();
+        let writes = |line: &&String| line.contains("sent request=") && line.contains("class=\"book\"");
+        let late: Vec<&String> = lines[closed..].iter().filter(writes).collect();
+        assert!(late.is_empty(), "{ends}: {late:?}");
+        let begun = lines[..closed].iter().filter(writes).count();
         let ran = ids.iter().filter(|id| ran(&nodes, id)).count();
-        assert!(ran <= begun && begun <= 2 * PIPELINE, "{ends}: {ran} of {begun} ran");
+        assert!(0 < ran && ran <= begun && begun <= PIPELINE, "{ends}: {ran} of {begun} ran");
     }
 }
 
