Clients: who goes for a newcomer is heard out, the door is emptied before it shuts

- `Front::shed` closed a client at once whose place a newcomer wanted: a request that crossed reset the connection.
- `Front::look_over` closed at the end of the time to hear out, and over half a message, without a last look: bytes that lay unread reset the connection, and the rest of a message that came with the end of its time was lost with its answer.
- `Front::drain` ran once for each SIGTERM: the second one closed whom the first one was hearing out.
- `Front::drain` took in 64 connections at the most, and none where all descriptors were out, and then closed the listener: the system reset those left.
- `Front::may_go` read up to the first short read: a request with its client's end behind it was begun.
- With all places out, eight connections that said nothing, or were told and stayed, kept a cancel waiting at the door.

Change: who gives up a place keeps its descriptor while it is heard out (eight beyond the places, shared with those who are told that there is none) and counts for no place; when a newcomer needs one of the eight, the first who was told goes at once, or one that has said nothing for 40 ms. Whoever has spoken is told in the same turn. The drain takes in all who wait, for 300 ms where descriptors are out, ends nobody twice, and a second SIGTERM changes nothing. Every last look reads to the end, a cancel that it finds counts, and half a message is ended like one that rests.

--- a/router/src/front/entry.rs
+++ b/router/src/front/entry.rs
@@ -77,7 +77,7 @@
     pub throttle: Throttle,
     /// The cancel keys of its clients.
     pub keys: Keys<Key>,
-    /// How many clients it has.
+    /// How many of its clients hold a place.
     pub clients: usize,
 }
 
--- a/router/src/front/pg.rs
+++ b/router/src/front/pg.rs
@@ -76,8 +76,11 @@
 /// What one is told that there is no place for, and one that must go and has not asked.
 const NO_PLACE: &str = "too many connections";
 const UNASKED: &str = "closed before a request came";
-/// Connections beyond the limit that are told so, and the pause in accepting when even they are too many.
-const REFUSALS: (usize, Time) = (8, 50_000);
+/// Connections beyond the limit: those that are told so, and those that gave up their place and are heard out.
+const BEYOND: usize = 8;
+/// One beyond the limit that has said nothing keeps its descriptor for so long though another waits at the door. Danger: a
+/// cancel that waits there is heard too late; its request may be sent on for no longer than 100 ms.
+const DOOR: Time = 40_000;
 
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Phase {
@@ -111,12 +114,25 @@
 enum Spare {
     /// Dismissed, and only heard out.
     Leaving,
+    /// Beyond the limit, and it has not said who it is.
+    Refusing,
     /// It has asked for nothing yet.
     Unasked,
     /// Between requests.
     Idle,
 }
 
+/// What is left of those who wait at a listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Queue {
+    /// Nobody.
+    Empty,
+    /// Some may be, whose turn is the next.
+    Waits,
+    /// Nobody is taken in for a moment.
+    Paused,
+}
+
 struct Client {
     stream: Stream,
     /// The way that it came by, by number, and from where.
@@ -179,7 +195,7 @@
         let kind = match self.phase {
             _ if !free => None,
             Phase::Closing => self.leaving.map(|_| Spare::Leaving),
-            Phase::Refusing => None,
+            Phase::Refusing => Some(Spare::Refusing),
             _ if !self.asked => Some(Spare::Unasked),
             _ => self.idle().then_some(Spare::Idle),
         };
@@ -310,9 +326,11 @@
     marked: Vec<Key>,
     /// Those that could be closed, in the order in which they would be.
     spare: BTreeSet<(Spare, Time, Key)>,
-    /// How many of them are idle.
-    idle: usize,
+    /// How many of them there are of each kind.
+    spares: [usize; 4],
     draining: bool,
+    /// Until when it takes in those who wait at its listeners though it finishes.
+    door_until: Option<Time>,
 }
 
 impl Front {
@@ -336,8 +354,9 @@
             },
             marked: Vec::new(),
             spare: BTreeSet::new(),
-            idle: 0,
+            spares: [0; 4],
             draining: false,
+            door_until: None,
         };
         front.open(listener, Terms::platform(most, IDLE))?;
         Ok(front)
@@ -365,50 +384,104 @@
         self.clients.len()
     }
 
+    /// Whether all that `drain` began is over: nobody is connected, and nobody can come.
+    pub fn drained(&self) -> bool {
+        self.draining
+            && self.clients.is_empty()
+            && self.words.entries.iter().all(|entry| entry.listener.is_none())
+    }
+
+    /// How many clients hold a place: all but those beyond the limit.
+    fn placed(&self) -> usize {
+        self.clients.len() - self.spares[Spare::Leaving as usize] - self.spares[Spare::Refusing as usize]
+    }
+
     /// Takes in the connections that wait at a listener.
     pub fn accept(&mut self, entry: Key, now: Time, core: &mut Core) {
+        self.take_in(entry, now, core);
+    }
+
+    fn take_in(&mut self, entry: Key, now: Time, core: &mut Core) -> Queue {
         let entry = entry.number() as usize;
         for _ in 0..TURN.1 {
-            if self.clients.len() >= self.most + REFUSALS.0 {
-                return self.pause_accepting(now, core);
+            let full = self.clients.len() >= self.most + BEYOND;
+            if full && !self.may_displace(now) {
+                // Who has spoken is told, and may be displaced.
+                self.pump(now, core);
+                if !self.may_displace(now) {
+                    self.pause_accepting(now, core);
+                    return Queue::Paused;
+                }
             }
             let Some(listener) = self.words.entries.get(entry).and_then(|e| e.listener.as_ref()) else {
-                return;
+                return Queue::Empty;
             };
             match listener.accept() {
                 Ok((socket, from)) => {
-                    // Only now is it certain that someone needs the place of an idle client.
-                    if self.clients.len() >= self.most {
-                        self.shed(core);
+                    // Only now is it certain that someone needs the place of an idle client, or the descriptor of one
+                    // that has none.
+                    if full {
+                        self.displace(now, core);
+                    }
+                    if self.placed() >= self.most {
+                        self.shed(now, core);
                     }
                     self.admit(entry, from.ip(), socket, now, core);
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Queue::Empty,
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                 // Danger: with no descriptor left the listener stays readable, and the loop would spin on it.
                 Err(e) => {
                     warn!("cannot accept: {e}");
-                    return self.pause_accepting(now, core);
+                    self.pause_accepting(now, core);
+                    return Queue::Paused;
                 }
             }
         }
+        Queue::Waits
+    }
+
+    /// Whether one of those beyond the limit may give up its descriptor to one that waits at the door: it has been told, or
+    /// has had its time to say who it is.
+    fn may_displace(&self, now: Time) -> bool {
+        self.spare.first().is_some_and(|&(kind, came, _)| match kind {
+            Spare::Leaving => true,
+            Spare::Refusing => came + DOOR <= now,
+            Spare::Unasked | Spare::Idle => false,
+        })
+    }
+
+    /// Closes the first of those beyond the limit.
+    fn displace(&mut self, now: Time, core: &mut Core) {
+        let Some(&(kind, _, key)) = self.spare.first() else { return };
+        if kind == Spare::Refusing && !self.may_go(key, now) {
+            // It has just spoken: it may want a cancel.
+            self.pump(now, core);
+            self.clients.get_mut(key).into_iter().for_each(Client::tell_unasked);
+        }
+        self.close(key, core);
     }
 
     fn pause_accepting(&mut self, now: Time, core: &mut Core) {
         self.listen_for(Interest::Nothing);
-        core.deadlines.add(now + REFUSALS.1, Due::Accept);
+        let mute = self.spare.range((Spare::Refusing, 0, Key::from_number(0))..).next();
+        let first = mute.filter(|(kind, ..)| *kind == Spare::Refusing).map(|(_, came, _)| came + DOOR);
+        core.deadlines.add(first.filter(|at| *at > now).unwrap_or(now + DOOR), Due::Accept);
     }
 
     /// Goes on accepting after a pause.
     pub fn resume_accepting(&mut self, now: Time, core: &mut Core) {
         self.listen_for(Interest::Read);
-        self.accept_all(now, core);
+        if self.draining {
+            self.shut_door(now, core);
+        } else {
+            self.accept_all(now, core);
+        }
     }
 
-    fn accept_all(&mut self, now: Time, core: &mut Core) {
-        for entry in 0..self.words.entries.len() {
-            self.accept(Key::from_number(entry as u64), now, core);
-        }
+    fn accept_all(&mut self, now: Time, core: &mut Core) -> Queue {
+        let entries = 0..self.words.entries.len() as u64;
+        entries.map(|entry| self.take_in(Key::from_number(entry), now, core)).max().unwrap_or(Queue::Empty)
     }
 
     fn listen_for(&mut self, interest: Interest) {
@@ -421,9 +494,11 @@
 
     fn admit(&mut self, entry: usize, from: IpAddr, socket: std::net::TcpStream, now: Time, core: &mut Core) {
         let way = &self.words.entries[entry];
-        let room = self.clients.len() < self.most && way.clients < way.terms.most;
+        let room = self.placed() < self.most && way.clients < way.terms.most;
         let phase = if room { Phase::Opening } else { Phase::Refusing };
         let (forms, idle_for) = (way.terms.forms, way.terms.idle);
+        let first = if room && !self.draining { FIRST } else { FIRST_SOON };
+        let message_for = if self.draining { MESSAGE.1 } else { MESSAGE.0 };
         let (poll, budget) = (&self.poll, self.words.budget.clone());
         let made = self.clients.insert_with(|key| {
             let at = poll_key(Source::Client, Some(key));
@@ -442,10 +517,10 @@
                 pending: VecDeque::new(),
                 touched: now,
                 begun: None,
-                message_for: MESSAGE.0,
+                message_for,
                 leaving: None,
                 asked: false,
-                first: now + if room { FIRST } else { FIRST_SOON },
+                first: now + first,
                 faults: 0,
                 look: None,
                 spare: None,
@@ -456,6 +531,10 @@
             Ok(key) => {
                 self.words.entries[entry].clients += 1;
                 self.settle(key, core);
+                if !room {
+                    // What it has said already need not wait for the next turn: others wait for its descriptor.
+                    self.event(key, false, now, core);
+                }
             }
             Err(e) => warn!("a client's connection cannot be taken over: {e}"),
         }
@@ -471,23 +550,31 @@
         }
         let spare = client.spare();
         if spare != client.spare {
-            let old = std::mem::replace(&mut client.spare, spare);
-            self.place(key, old, spare);
+            let (old, entry) = (std::mem::replace(&mut client.spare, spare), client.entry);
+            self.place(key, entry, old, spare);
         }
     }
 
     /// Moves a client among the spare ones.
-    fn place(&mut self, key: Key, old: Option<(Spare, Time)>, new: Option<(Spare, Time)>) {
-        let idle = |place: Option<(Spare, Time)>| usize::from(place.is_some_and(|p| p.0 == Spare::Idle));
-        self.idle = self.idle + idle(new) - idle(old);
-        old.map(|(kind, at)| self.spare.remove(&(kind, at, key)));
-        new.map(|(kind, at)| self.spare.insert((kind, at, key)));
+    fn place(&mut self, key: Key, entry: usize, old: Option<(Spare, Time)>, new: Option<(Spare, Time)>) {
+        let beyond =
+            |spare: Option<(Spare, Time)>| usize::from(spare.is_some_and(|s| s.0 <= Spare::Refusing));
+        let way = &mut self.words.entries[entry];
+        way.clients = way.clients + beyond(old) - beyond(new);
+        if let Some((kind, at)) = old {
+            self.spares[kind as usize] -= 1;
+            self.spare.remove(&(kind, at, key));
+        }
+        if let Some((kind, at)) = new {
+            self.spares[kind as usize] += 1;
+            self.spare.insert((kind, at, key));
+        }
     }
 
     /// Closes the clients that have been idle for longest where too many are. Danger: clients may hold only so many
     /// connections, and those that ask once and hold on to theirs would leave none for the others.
     fn thin_out(&mut self, now: Time, core: &mut Core) {
-        let over = self.idle.saturating_sub(self.most / MOST_IDLE);
+        let over = self.spares[Spare::Idle as usize].saturating_sub(self.most / MOST_IDLE);
         let idle = self.spare.range((Spare::Idle, 0, Key::from_number(0))..).take(over);
         for key in idle.map(|&(_, _, key)| key).collect::<Vec<Key>>() {
             self.close_idle(key, now, core);
@@ -495,22 +582,24 @@
     }
 
     /// Makes room for one more client.
-    fn shed(&mut self, core: &mut Core) {
-        let first: Vec<Key> = self.spare.iter().take(LAST_LOOKS).map(|&(_, _, key)| key).collect();
-        // One that has just spoken stays, and the next one goes. Its place is wanted now, so nobody is heard out.
+    fn shed(&mut self, now: Time, core: &mut Core) {
+        let placed = self.spare.range((Spare::Unasked, 0, Key::from_number(0))..);
+        let first: Vec<Key> = placed.take(LAST_LOOKS).map(|&(_, _, key)| key).collect();
+        // One that has just spoken stays, and the next one goes.
         for key in first {
-            if self.may_go(key) {
-                return self.close(key, core);
+            if self.close_idle(key, now, core) {
+                return;
             }
         }
     }
 
-    /// Ends a client between requests, unless something has just come.
-    fn close_idle(&mut self, key: Key, now: Time, core: &mut Core) {
-        if !self.may_go(key) {
-            return;
+    /// Ends a client between requests, unless something has just come; whether it did. It keeps its descriptor while it is
+    /// heard out, and no place.
+    fn close_idle(&mut self, key: Key, now: Time, core: &mut Core) -> bool {
+        if !self.may_go(key, now) {
+            return false;
         }
-        let Some(client) = self.clients.get_mut(key) else { return };
+        let Some(client) = self.clients.get_mut(key) else { return false };
         // Danger: closed at once, what crosses the close resets the connection, and takes an answer on its way with it.
         if client.leaving.is_none() && client.stream.unsent() == 0 {
             client.leave(now + LEAVE_RESTING);
@@ -519,17 +608,21 @@
         } else {
             self.close(key, core);
         }
+        true
     }
 
-    /// Whether a client between requests may be ended: nothing has just come. One that has not asked is told.
-    fn may_go(&mut self, key: Key) -> bool {
+    /// Whether a client between requests may be ended: nothing has just come, or its end behind it. One that has not asked
+    /// is told.
+    fn may_go(&mut self, key: Key, now: Time) -> bool {
         let Some(client) = self.clients.get_mut(key) else { return false };
         // Danger: closing with a request unread in the kernel's buffer loses it; so a last look is taken first.
         let before = client.stream.unread().len();
         // Danger: one that this turn has heard already says nothing more, and would be closed with its request unread.
         let heard = client.marked && before > 0;
         let spoke = client.leaving.is_none()
-            && (heard || client.stream.fill() == Peer::Open && client.stream.unread().len() > before);
+            && (heard
+                || Self::hear(&mut self.words, client, key, now) == Peer::Open
+                    && client.stream.unread().len() > before);
         if spoke {
             self.mark(key);
         } else {
@@ -541,11 +634,15 @@
     /// The one place where a client's connection is given back.
     fn close(&mut self, key: Key, core: &mut Core) {
         let Some(mut client) = self.clients.remove(key) else { return };
+        if client.leaving.is_some() {
+            // Danger: what has come since the last look would reset the connection. The rest of it is the other side's.
+            let _ = client.stream.discard();
+        }
         core.deadlines.set(&mut client.look, Due::Client(key), None);
+        self.place(key, client.entry, client.spare.take(), None);
         let way = &mut self.words.entries[client.entry];
         way.clients -= 1;
         client.key.into_iter().for_each(|id| way.keys.withdraw(id));
-        self.place(key, client.spare.take(), None);
         for asked in client.pending.into_iter().filter_map(|p| p.request) {
             core.gone(asked.request);
         }
@@ -568,25 +665,30 @@
         let Some(client) = self.clients.get_mut(key) else { return };
         // Danger: the poller tells of a reset whatever the socket waits for, over and over: one that is not being
         // read would keep the loop spinning.
-        let peer = if hung_up { Peer::Gone } else { Self::hear(client) };
-        if peer == Peer::Gone {
-            // Whoever wants a request cancelled need not wait for our end of the connection.
+        let peer = Self::hear(&mut self.words, client, key, now);
+        if hung_up || peer != Peer::Open {
+            debug!(client = key.number(), ?peer, hung_up, "closed");
+            return self.close(key, core);
+        }
+        self.mark(key);
+    }
+
+    /// Reads what a client has sent, up to its end where that can be reached. Whoever wants a request cancelled need not
+    /// wait for our end of the connection.
+    fn hear(words: &mut Words, client: &mut Client, key: Key, now: Time) -> Peer {
+        let peer = Self::fill(client);
+        if peer != Peer::Open {
             while client.door.is_some() && client.phase != Phase::Closing {
-                if !Self::come_in(&mut self.words, client, key, now) {
+                if !Self::come_in(words, client, key, now) {
                     break;
                 }
             }
         }
-        if peer != Peer::Open {
-            debug!(client = key.number(), ?peer, "closed");
-            return self.close(key, core);
-        }
-        self.mark(key);
+        peer
     }
 
-    /// Reads what a client has sent, up to its end where that can be reached. Danger: with its end left for the next turn,
-    /// requests would begin whose client has gone while the loop was busy.
-    fn hear(client: &mut Client) -> Peer {
+    /// Danger: with a client's end left for the next turn, requests would begin though it has gone while the loop was busy.
+    fn fill(client: &mut Client) -> Peer {
         // `heard_out` reads, and keeps nothing.
         if client.leaving.is_some() {
             return Peer::Open;
@@ -613,17 +715,28 @@
         client.look = None;
         match client.until() {
             Some(at) if at > now => self.settle(key, core),
-            Some(_) if client.leaving.is_none() && client.stream.unsent() == 0 && client.begun.is_none() => {
-                self.close_idle(key, now, core);
-            }
-            Some(_) => {
-                client.tell_unasked();
-                self.close(key, core);
-            }
+            Some(_) if client.leaving.is_some() || client.stream.unsent() > 0 => self.close(key, core),
+            Some(_) if client.begun.is_some() => self.end_half(key, now, core),
+            Some(_) => drop(self.close_idle(key, now, core)),
             None => {}
         }
     }
 
+    /// Ends a client whose message has been under way for too long, unless the rest of it has just come.
+    fn end_half(&mut self, key: Key, now: Time, core: &mut Core) {
+        let Some(client) = self.clients.get_mut(key) else { return };
+        let heard = Self::hear(&mut self.words, client, key, now);
+        if heard != Peer::Open || Self::exchange(&mut self.words, client, key, now, core).is_err() {
+            return self.close(key, core);
+        }
+        if client.begun.is_some() {
+            client.tell_unasked();
+            client.leave(now + LEAVE_RESTING);
+        }
+        self.mark(key);
+        self.settle(key, core);
+    }
+
     /// The statement of a request, for an attempt.
     pub fn statement(&self, origin: Key, request: Key) -> Option<Rc<Statement>> {
         let pending = self.clients.get(origin)?.pending.iter();
@@ -713,8 +826,9 @@
                 self.close_idle(key, now, core);
             }
         }
-        self.cancel_wanted(now, core);
+        // The last look at who goes may find a cancel.
         self.thin_out(now, core);
+        self.cancel_wanted(now, core);
     }
 
     /// All has been said to a client that is to go: it is told so, and heard out; true once that is over.
@@ -968,7 +1082,7 @@
             let Some(client) = self.clients.get_mut(key) else { continue };
             // Danger: the query may have come before the wish and be read after it, and would run for nobody.
             if client.pending.is_empty()
-                && (Self::hear(client) != Peer::Open
+                && (Self::hear(&mut self.words, client, key, now) != Peer::Open
                     || Self::exchange(&mut self.words, client, key, now, core).is_err())
             {
                 self.close(key, core);
@@ -1121,14 +1235,26 @@
         client.pending.push_back(Pending { request: Some(asked), answer: None });
     }
 
-    /// Closes the listener and all idle clients; the others are closed once they are answered, or have not asked in time.
+    /// Closes the listeners, once all who wait at them have been taken in.
+    fn shut_door(&mut self, now: Time, core: &mut Core) {
+        let until = *self.door_until.get_or_insert(now + FIRST_SOON);
+        // Danger: the system resets those whom a closed listener leaves waiting.
+        let fits = BACKLOG as u32 / TURN.1;
+        let queue = (0..=fits).map(|_| self.accept_all(now, core)).find(|queue| *queue != Queue::Waits);
+        // Where accepting pauses it goes on here.
+        if queue != Some(Queue::Paused) || now >= until {
+            self.words.entries.iter_mut().for_each(|entry| entry.listener = None);
+        }
+    }
+
+    /// Closes the listeners and all idle clients; the others are closed once they are answered, or have not asked in time.
     pub fn drain(&mut self, now: Time, core: &mut Core) {
-        self.accept_all(now, core);
-        self.words.entries.iter_mut().for_each(|entry| entry.listener = None);
         self.draining = true;
+        self.shut_door(now, core);
         let all: Vec<Key> = self.clients.iter().map(|(key, _)| key).collect();
         for key in all {
-            let Some(client) = self.clients.get_mut(key) else { continue };
+            // Danger: told once more to end, it would close those that it hears out with bytes unread.
+            let Some(client) = self.clients.get_mut(key).filter(|c| c.leaving.is_none()) else { continue };
             client.message_for = MESSAGE.1;
             if !client.asked {
                 client.first = client.first.min(now + FIRST_SOON);
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -43,6 +43,7 @@
     discovery: Discovery,
     operators: Option<operators::Source>,
     peers: Option<Talk>,
+    /// SIGTERM has come.
     stopping: bool,
 }
 
@@ -119,7 +120,7 @@
             peers.start(now, &mut self.core);
         }
         let mut at_once = self.decide(now);
-        while !(self.stopping && self.front.connected() == 0) {
+        while !self.front.drained() {
             let now = self.clock.now();
             let next = self.core.deadlines.next().map(|at| Duration::from_micros(at.saturating_sub(now)));
             let timeout = if at_once { Some(Duration::ZERO) } else { next };
@@ -196,7 +197,6 @@
                 // Handing over does not keep clients waiting.
                 self.peers.iter_mut().for_each(|peers| peers.end(now));
                 self.front.drain(now, &mut self.core);
-                self.stopping = true;
             }
         }
     }
@@ -327,6 +327,9 @@
     }
 
     fn terminate(&mut self, now: Time) {
+        if std::mem::replace(&mut self.stopping, true) {
+            return info!("SIGTERM: once more; it is finishing already");
+        }
         info!(held = self.core.held(), "SIGTERM: finishing what has been taken on");
         self.peers.iter_mut().for_each(|peers| peers.leave(now, &mut self.core));
         self.core.deadlines.add(now + STILL_ACCEPTING, Due::Stop);
