Tests: a reset long after the request has begun

Four seconds after its last byte has left, with one left to the client: an idempotent read goes again, a write that may not run twice fails, one whose window for repeats is over is refused where repeats do no harm. Harmless: no fault was found.

--- a/router/src/upstream/pg/tests.rs
+++ b/router/src/upstream/pg/tests.rs
@@ -737,6 +737,28 @@
     }
 }
 
+#[test]
+fn a_reset_long_after_the_request_has_begun_is_weighed_by_the_time_that_it_comes_at() {
+    // A second is left to the client, and the window for repeats is over: only what may always be repeated goes again.
+    for (class, again, told) in
+        [(READ, true, None), (WRITE, false, Some(Fate::Failed)), (KEYED, false, Some(Fate::Refused))]
+    {
+        let node = node();
+        let mut pools = Pools::before(&[("p", &node)]);
+        let request = pools.asks("a1", class, 0);
+        let mut link = pools.greeted(&node);
+        assert_eq!(link.statement().expect("a statement").as_deref(), Some("a1"));
+        for _ in 0..400 {
+            pools.later(10_000);
+        }
+        assert_eq!((pools.fate(request), pools.sent.len()), (None, 1));
+        link.reset().expect("a socket");
+        pools.until(|pools| pools.open().1 == 0);
+        assert_eq!(further(&mut pools, request, 1), again, "class {class}: {:?}", pools.ended);
+        assert_eq!(pools.fate(request), told, "class {class}");
+    }
+}
+
 /// Longer than all buffers on its way.
 const LONG: usize = 16 << 20;
 
