--- a/src/balance.rs
+++ b/src/balance.rs
@@ -97,8 +97,7 @@
     heard: Time, // when `position` was learned
     denied: Option<Time>,
     recent: VecDeque<(Arc<str>, usize)>,
-    /// Attempts out: when sent, their cost as charged at sending, and the class mean then.
-    out: BTreeMap<(RequestId, u32), (Time, f64, f64)>,
+    out: BTreeMap<(RequestId, u32), (Time, f64, f64)>, // attempts: when sent, cost and class mean as of then
     slow: f64,
     slow_at: Time,
     answered: Time,
@@ -121,8 +120,7 @@
 #[derive(Default)]
 struct Group {
     members: BTreeSet<NodeId>,
-    /// The believed primary and the time of the evidence (0: the list's word only).
-    primary: Option<(NodeId, Time)>,
+    primary: Option<(NodeId, Time)>, // as believed, and the time of the evidence (0: the list's word only)
     held: (f64, Time), // mean of what its members say they hold for other routers, and when one said it
 }
 
@@ -147,10 +145,8 @@
     requests: BTreeMap<RequestId, Request>,
     due: BTreeSet<(Time, RequestId)>,
     waiting: BTreeSet<RequestId>,
-    /// Nodes with attempts out or just ended, and those set aside: all that a look-over has to visit.
-    busy: BTreeSet<NodeId>,
-    /// One router's share of a node's limit is under one request: then chance takes the limit's place.
-    thin: bool,
+    busy: BTreeSet<NodeId>, // nodes with attempts out or just ended, or set aside: what a look-over visits
+    thin: bool, // a router's share of a node's limit is under one request: chance takes the limit's place
     in_service: usize, // nodes in service by the list
     classes: Vec<ClassState>,
     old: Span,  // data older than this is of use only to reads that any data will do for
@@ -166,11 +162,10 @@
     /// A router that has just started, with its settings and a seed for its random numbers.
     pub fn new(settings: Settings, seed: u64) -> Self {
         let first = |c: &Class| ClassState { latency: c.aim as f64 * FIRST_LATENCY, ..ClassState::default() };
-        let classes = settings.classes.iter().map(first).collect();
         let bound = |c: &Class| if let Access::Bounded(bound) = c.access { Some(bound) } else { None };
         Balancer {
             old: settings.classes.iter().filter_map(bound).max().unwrap_or(UNSURE),
-            classes,
+            classes: settings.classes.iter().map(first).collect(),
             random: seed | 1,
             turn: u64::from(settings.index),
             resubscribe: settings.subscribe.then_some(0),
@@ -214,8 +209,7 @@
             ListUpdate::Full(entries) | ListUpdate::Restored(entries) => (entries, true),
             ListUpdate::Failed => {
                 let wait = TRIAL.0 + self.draw() % TRIAL.0;
-                self.resubscribe = self.cfg.subscribe.then_some(self.now + wait);
-                return;
+                return self.resubscribe = self.cfg.subscribe.then_some(self.now + wait);
             }
         };
         if full {
@@ -235,8 +229,7 @@
 
     /// Loses nodes that are gone once nothing is out there. Danger: day by day new ones take their places.
     fn prune(&mut self) {
-        let attempts = self.requests.values().flat_map(|r| &r.attempts);
-        let known: BTreeSet<&NodeId> = attempts.map(|a| &a.node).collect();
+        let known: BTreeSet<_> = self.requests.values().flat_map(|r| &r.attempts).map(|a| &a.node).collect();
         self.nodes.retain(|id, node| !node.gone || !node.out.is_empty() || known.contains(id));
         self.busy.retain(|id| self.nodes.contains_key(id));
         for group in self.groups.values_mut() {
@@ -615,17 +608,15 @@
     }
 
     fn arrive(&mut self, what: Demand) {
-        let class = &self.cfg.classes[what.class];
+        let (class, id) = (&self.cfg.classes[what.class], what.id);
         let due = self.now + what.left.saturating_sub(MARGIN_TICKS * self.cfg.tick);
+        let carried = what.write_age.map(|age| self.now.saturating_sub(age) + TOKEN_SLACK);
         let need = match class.access {
             Access::Latest => Some(self.now),
-            Access::OwnWrites if self.cfg.tokens_carried => {
-                what.write_age.map(|age| self.now.saturating_sub(age) + TOKEN_SLACK)
-            }
+            Access::OwnWrites if self.cfg.tokens_carried => carried,
             Access::OwnWrites => what.session.as_ref().and_then(|s| self.written.get(s).copied()),
             _ => None,
         };
-        let id = what.id;
         // The aim counts from the client's first try. A marked repeat with less left than those is known by
         // what it has left; serving it late takes the place of one that can still make it.
         let longest = &mut self.classes[what.class].longest_left;
@@ -640,12 +631,9 @@
     }
 
     fn place(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        let Some(node_id) = self.choose(id, actions) else { return };
+        let left = self.requests[&id].due.saturating_sub(self.now);
+        let Some(node_id) = self.choose(id, actions).filter(|_| left >= self.cfg.tick) else { return };
         let (now, r) = (self.now, &self.requests[&id]);
-        let left = r.due.saturating_sub(now);
-        if left < self.cfg.tick {
-            return;
-        }
         let node = &self.nodes[&node_id];
         let write = self.is_write(id);
         let (mean, slowness) = (self.classes[r.what.class].latency, node.slowness(now));
@@ -676,11 +664,9 @@
         let Some(r) = self.requests.get_mut(&id).filter(sent) else { return };
         let a = &mut r.attempts[attempt as usize];
         let (node_id, class) = (a.node.clone(), r.what.class);
-        a.fate = match ending {
-            Ending::Overloaded | Ending::Unreachable | Ending::Void | Ending::Missed => Fate::NotRun,
-            _ => Fate::MayHaveRun,
-        };
         a.missed = ending == Ending::Missed;
+        let harmless = a.missed || matches!(ending, Ending::Overloaded | Ending::Unreachable | Ending::Void);
+        a.fate = if harmless { Fate::NotRun } else { Fate::MayHaveRun };
         let (group, session, ask) = (r.what.group, r.what.session.clone(), ask(&self.cfg, r));
         self.zoning.iter_mut().for_each(|z| z.ended(self.now, &ask, &node_id, ending, elapsed));
         if matches!(ending, Ending::Success | Ending::Failure | Ending::Missed | Ending::Overloaded) {
@@ -810,16 +796,14 @@
         let Some(r) = self.requests.get(&id).filter(|r| r.open && !r.streaming) else { return };
         if self.may_refuse(r) {
             let (most, ask) = (self.cfg.max_retry_after, ask(&self.cfg, r));
-            let wait = self.zoning.as_ref().map_or(most / 2, |z| z.come_back(&ask, most));
-            let advice = self.cfg.retry_after.then_some(wait);
-            actions.push(Action::Refuse { request: id, retry_after: advice });
+            let wait = || self.zoning.as_ref().map_or(most / 2, |z| z.come_back(&ask, most));
+            actions.push(Action::Refuse { request: id, retry_after: self.cfg.retry_after.then(wait) });
         } else {
             actions.push(Action::Fail { request: id });
         }
         let out = |(_, a): &(usize, &Attempt)| self.cfg.may_cancel && a.fate == Fate::Out;
-        for (place, _) in r.attempts.iter().enumerate().filter(out) {
-            actions.push(Action::Cancel { request: id, attempt: place as u32 });
-        }
+        let cancel = |(place, _)| Action::Cancel { request: id, attempt: place as u32 };
+        actions.extend(r.attempts.iter().enumerate().filter(out).map(cancel));
         self.close(id);
     }
 
@@ -854,13 +838,9 @@
     }
 
     fn settle(&mut self, actions: &mut Vec<Action>) {
-        if self.resubscribe.take_if(|at| *at <= self.now).is_some() {
-            actions.push(Action::Subscribe);
-        }
+        actions.extend(self.resubscribe.take_if(|at| *at <= self.now).map(|_| Action::Subscribe));
         self.watch(actions);
-        while let Some(&(at, id)) = self.due.first()
-            && at <= self.now
-        {
+        while let Some((_, id)) = self.due.first().copied().filter(|(at, _)| *at <= self.now) {
             self.due.pop_first();
             self.give_up(id, actions);
         }
@@ -924,10 +904,8 @@
         }
         self.busy.retain(|id| self.nodes[id].suspect || !self.nodes[id].out.is_empty());
         for id in silent {
-            let group = self.nodes[&id].entry.group;
-            self.unseat(group, &id);
-            let out: Vec<(RequestId, u32)> = self.nodes[&id].out.keys().copied().collect();
-            for (request, attempt) in out.into_iter().filter(|_| self.cfg.may_cancel) {
+            self.unseat(self.nodes[&id].entry.group, &id);
+            for &(request, attempt) in self.nodes[&id].out.keys().filter(|_| self.cfg.may_cancel) {
                 // An unsafe request can't be sent again after a cancel, so it stays where it is.
                 let again = |r: &Request| self.cfg.classes[r.what.class].effect != Effect::AtMostOnce;
                 if self.requests.get(&request).is_some_and(|r| r.open && !r.streaming && again(r)) {
@@ -985,8 +963,7 @@
         match factor {
             None if self.out.len() as f64 + 1.0 >= self.limit / 2.0 => self.limit += 1.0 / self.limit,
             Some(cut) if now >= self.cut_at + CUT_GAP => {
-                self.limit = self.limit.min(self.out.len() as f64 + 1.0) * cut;
-                self.cut_at = now;
+                (self.limit, self.cut_at) = (self.limit.min(self.out.len() as f64 + 1.0) * cut, now);
             }
             _ => {}
         }
@@ -1006,8 +983,7 @@
 
     /// The next trial is due later than the one before.
     fn wait_on(&mut self, now: Time) {
-        self.trial_at = now + self.trial_wait;
-        self.trial_wait = (self.trial_wait * 2).min(TRIAL.1);
+        (self.trial_at, self.trial_wait) = (now + self.trial_wait, (self.trial_wait * 2).min(TRIAL.1));
     }
 
     fn slowness(&self, now: Time) -> f64 {
@@ -1016,7 +992,6 @@
 
     fn slow_sample(&mut self, now: Time, ratio: f64, gain: f64) {
         let old = self.slowness(now);
-        self.slow = (old + gain * (ratio - old)).clamp(SLOW_RANGE.0, SLOW_RANGE.1);
-        self.slow_at = now;
+        (self.slow, self.slow_at) = ((old + gain * (ratio - old)).clamp(SLOW_RANGE.0, SLOW_RANGE.1), now);
     }
 }
