Mend: tenants' quotas are weighed, so who is within one does not starve beside a flood

Cause: `arrive`, `value` and `admitted` never looked at `Demand::tenant`. The model, besides, told routers that what is over a share is worth as much as the rest; by default it is half now.

Change: `quota_worth` draws, with no dice of its own, as many of a tenant's tries over its quota as exceed the larger of a router's part of the quota and the quota's part of all use here, by counts that fade in 3 s, once chance can't explain it. Such a try is worth OverShareWorth in the queue, and may take a quarter of a node's limit or, where routers are hundreds, half of the wait; else it is refused at once, if a refusal is true. A tenant without AllowancePerS has no quota (it read as 0); at 0 all is over; unknown tenants and one alone are never over.

--- a/fleet/src/spec.rs
+++ b/fleet/src/spec.rs
@@ -201,6 +201,16 @@
     /// The tenants, if requests belong to any.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub tenants: Vec<TenantSpec>,
+    /// What a request beyond its tenant's share is worth, as a fraction: routers are told.
+    #[serde(skip_serializing_if = "usual_over_share")]
+    pub over_share_worth: f64,
+}
+
+/// Half of the worth of what is inside: it earns something, and never as much as what it would take the place of.
+const OVER_SHARE: f64 = 0.5;
+
+fn usual_over_share(worth: &f64) -> bool {
+    *worth == OVER_SHARE
 }
 
 impl ClientSpec {
@@ -225,6 +235,7 @@
             skew: 1.0,
             group_skew: 0.0,
             tenants: Vec::new(),
+            over_share_worth: OVER_SHARE,
         }
     }
 }
@@ -501,6 +512,9 @@
                 "clients.tenants: expected a share over 0 and floods of over 0 to 100 times".into(),
             );
         }
+        if !(0.0..=1.0).contains(&self.clients.over_share_worth) {
+            return fault("clients.over_share_worth: expected 0 to 1".into());
+        }
         if !(0.0..=4.0).contains(&self.clients.group_skew) {
             return fault("clients.group_skew: expected 0 to 4".into());
         }
@@ -617,6 +631,7 @@
             zone: zone.to_string(),
             classes: self.classes.iter().map(class).collect(),
             tenants: self.clients.tenants.iter().map(tenant).collect(),
+            over_share_worth: self.clients.over_share_worth,
             replica_check: plovercove::ReplicaCheck::None,
             reports: plovercove::ReportSource::Probes,
             may_probe: true,
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -281,7 +281,7 @@
         let part = Part::new(value, format!("{path}Customers[{place}]."));
         Ok(Tenant {
             name: part.get("Name", text)?.to_string(),
-            quota_per_s: part.maybe("AllowancePerS", number)?.unwrap_or(0.0),
+            quota_per_s: part.maybe("AllowancePerS", number)?.unwrap_or(f64::INFINITY),
         })
     });
     let checks = [
--- /dev/null
+++ b/settings/tests/quotas.rs
@@ -0,0 +1,38 @@
+//! Which shares tenants have agreed on: what the settings name, and what it means where they name none.
+
+use plovercove::Settings;
+use plovercove_settings::{parse, settings};
+
+fn read(customers: &str, more: &str) -> Settings {
+    let json = format!(
+        r#"{{"Balancers": 3, "SlotNo": 1, "Tick": 5000, "Discovery": "automatic", "Zone": "a",
+        "FamilyInfo": {{"ClassRead": ["recent"], "MaxAge": [3000000], "ServerChecks": "silent", "ShowsRole": "delayed",
+        "SessionMarks": "client"}},
+        "Limits": {{"Cancel": true, "ConnIdle": 30000000, "DialTimeout": 250000, "MaxAttempts": 6,
+        "MaxRetryAfter": 500000, "Probing": true, "RetryAfter": true, "SecondCopies": true}},
+        "Profiles": [{{"Name": "read", "Aim": 400000, "Deadline": 1000000, "Gain": 1.5, "Effect": "idempotent"}}],
+        "Report": {{"How": "pull", "Names": ["x0"]}}, "Rules": {{"Cold": 10000000, "ColdShare": 0.2,
+        "DrainGrace": 1000000, "OverloadFactor": 4, "OverloadFor": 2000000, "GraceToAnswer": 20000}}{more}
+        {customers}}}"#
+    );
+    let value = parse(json.into_bytes()).unwrap_or_else(|e| panic!("{e}"));
+    settings(&value, "settings.").unwrap_or_else(|e| panic!("{e}")).settings
+}
+
+#[test]
+fn a_tenant_without_an_allowance_has_no_share_to_be_over() {
+    let told = read(
+        r#", "Customers": [{"Name": "a", "AllowancePerS": 12.5}, {"Name": "b"}, {"Name": "c", "AllowancePerS": 0}]"#,
+        r#", "OverShareWorth": 0.3"#,
+    );
+    let quotas: Vec<f64> = told.tenants.iter().map(|t| t.quota_per_s).collect();
+    assert_eq!(quotas, [12.5, f64::INFINITY, 0.0]);
+    assert_eq!(told.over_share_worth, 0.3);
+}
+
+#[test]
+fn without_a_word_on_shares_all_is_worth_the_same() {
+    let told = read("", "");
+    assert!(told.tenants.is_empty());
+    assert_eq!(told.over_share_worth, 1.0);
+}
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -48,6 +48,8 @@
 const HELD_GAIN: f64 = 0.2; // weight of a report in the mean of its group
 const BUSY: (f64, f64) = (0.2, 0.9); // reports of a node this busy tell its cores: idler ones are all noise
 const CORES: f64 = 4.0; // requests a node works on at once, until reports tell
+const USED_FADE: f64 = 3e6; // requests of a tenant are counted with this time constant
+const OVER_QUOTA: (f64, f64) = (0.25, 0.5); // what is over it may take so much of a limit, or of a wait
 const LOOK_OVER: Span = 20_000; // period of the look-over while anything is out or waiting
 const TOKEN_SLACK: Span = 1_000; // a carried token may be rounded by up to this
 
@@ -78,6 +80,7 @@
     attempts: Vec<Attempt>,
     open: bool,
     streaming: bool,
+    worth: f64,                    // the part of its class's worth that it earns: less over a quota
     barred: bool,                  // chance kept it from the nodes it wanted
     asked: Option<(NodeId, Time)>, // the node asked on its behalf, and when
 }
@@ -149,8 +152,9 @@
     thin: bool, // a router's share of a node's limit is under one request: chance takes the limit's place
     in_service: usize, // nodes in service by the list
     classes: Vec<ClassState>,
-    old: Span,  // data older than this is of use only to reads that any data will do for
-    cores: f64, // how many requests a node works on at once, by what nodes say of themselves
+    old: Span,              // data older than this is of use only to reads that any data will do for
+    used: (Vec<f64>, Time), // each tenant's requests of late, which fade, and when one came last
+    cores: f64,             // how many requests a node works on at once, by what nodes say of themselves
     written: BTreeMap<Arc<str>, Time>,
     wake: Option<Time>,
     resubscribe: Option<Time>,
@@ -170,6 +174,7 @@
             turn: u64::from(settings.index),
             resubscribe: settings.subscribe.then_some(0),
             thin: LIMIT.0 < f64::from(settings.routers),
+            used: (vec![0.0; settings.tenants.len()], 0),
             cores: CORES,
             cfg: settings,
             ..Balancer::default()
@@ -399,7 +404,10 @@
         let crowd = (self.others(node) / (self.cores * warm)).max(1.0) * node.slowness(self.now).max(1.0);
         let guest = class.access != Access::Write && self.primary(r.what.group) == Some(&node.entry.node);
         let wait = FIRST_LATENCY * class.aim as f64 * crowd * WAIT * if guest { GUEST } else { 1.0 };
-        let open = !self.thin || self.now as f64 + wait <= self.aim_end(r).min(r.due as f64);
+        // What is over its tenant's quota leaves room to what is within: where none is left it is refused.
+        let (room, late) = if r.worth < 1.0 && self.may_refuse(r) { OVER_QUOTA } else { (1.0, 1.0) };
+        let in_time = self.now as f64 + wait / late <= self.aim_end(r).min(r.due as f64);
+        let open = if self.thin { in_time } else { room == 1.0 || self.has_room(node, room) };
         // Danger: a cold node's refusals were sent to it over and over, which counts towards pushing it over.
         // Where zones count, each cold node has an allowance of its own.
         let lucky = matches!(&self.zoning, Some(z) if z.paces()) || r.luck <= (warm * COLD_USE * peers).ln();
@@ -624,12 +632,29 @@
         let known = what.repeat && what.left < *longest;
         let born = self.now.saturating_sub(if known { class.deadline.saturating_sub(what.left) } else { 0 });
         let luck = ((self.draw() >> 11) as f64 / (1u64 << 53) as f64).max(1e-9).ln();
-        let r = Request { what, luck, came: self.now, born, due, need, open: true, ..Request::default() };
+        let (came, worth) = (self.now, self.quota_worth(what.tenant, luck));
+        let r = Request { what, luck, worth, came, born, due, need, open: true, ..Request::default() };
         self.requests.insert(id, r);
         self.due.insert((due, id));
         self.waiting.insert(id);
     }
 
+    /// The part of its worth that a request earns: as many of a tenant's are over its quota as exceed it.
+    /// Routers see uneven parts of the traffic, so a quota's part of all use here counts where that is more.
+    fn quota_worth(&mut self, tenant: Option<usize>, luck: f64) -> f64 {
+        let (cfg, (used, at)) = (&self.cfg, &mut self.used);
+        let Some(tenant) = tenant.filter(|t| *t < used.len()) else { return 1.0 };
+        let left = fade(self.now, std::mem::replace(at, self.now), USED_FADE);
+        used.iter_mut().for_each(|u| *u *= left);
+        used[tenant] += 1.0;
+        let (quota, all) = (cfg.tenants[tenant].quota_per_s, cfg.tenants.iter().map(|t| t.quota_per_s));
+        let part = quota * USED_FADE / 1e6 / f64::from(cfg.routers.max(1));
+        let part = part.max(quota / all.sum::<f64>() * used.iter().sum::<f64>());
+        // What chance may bring is no flood, least of all where a router has seen little.
+        let flood = used[tenant] > part + 2.0 * part.sqrt() + 2.0;
+        if flood && luck > (part / used[tenant]).ln() { cfg.over_share_worth } else { 1.0 }
+    }
+
     fn place(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let left = self.requests[&id].due.saturating_sub(self.now);
         let Some(node_id) = self.choose(id, actions).filter(|_| left >= self.cfg.tick) else { return };
@@ -834,7 +859,7 @@
     fn value(&self, r: &Request) -> f64 {
         let (class, latency) = (&self.cfg.classes[r.what.class], self.classes[r.what.class].latency);
         let on_time = self.now as f64 + latency <= self.aim_end(r);
-        class.worth * if on_time { 1.0 } else { class.late_worth } / latency
+        class.worth * r.worth * if on_time { 1.0 } else { class.late_worth } / latency
     }
 
     fn settle(&mut self, actions: &mut Vec<Action>) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -84,7 +84,7 @@
 pub struct Tenant {
     /// Its name, for log lines only.
     pub name: String,
-    /// Requests a second, over all routers, that earn full worth.
+    /// Requests a second, over all routers, that earn full worth: 0 where none does, infinite where no share is agreed.
     pub quota_per_s: f64,
 }
 
@@ -158,7 +158,7 @@
     pub zone: String,
     /// The classes; requests name them by their place here.
     pub classes: Vec<Class>,
-    /// The tenants; requests name them by their place here. Their shares are not weighed yet.
+    /// The tenants; requests name them by their place here. One that names none, or another, is never over a share.
     pub tenants: Vec<Tenant>,
     /// The worth of a request beyond its tenant's share, as a fraction.
     pub over_share_worth: f64,
