--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 mod strict;
 mod world;
 
+pub use pressure::{Peak, Shares};
 pub use report::*;
 pub use rules::{Breach, Rule};
 pub use spec::*;
--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -32,7 +32,8 @@
     /// Work offered of late while cold, with its sum (s).
     offered: VecDeque<(Time, f64)>,
     sum: f64,
-    /// The most of that, as a share of what a cold node surely bears.
+    /// That as a share of what a cold node surely bears, and the most of it so far.
+    pressed: f64,
     peak: f64,
     fallen: bool,
 }
@@ -50,6 +51,7 @@
             queue: VecDeque::new(),
             offered: VecDeque::new(),
             sum: 0.0,
+            pressed: 0.0,
             peak: 0.0,
             fallen: false,
         }
@@ -90,6 +92,11 @@
         self.peak
     }
 
+    /// What had come within the window with the last request while it was cold, by the same measure.
+    pub fn cold_pressure(&self) -> f64 {
+        self.pressed
+    }
+
     /// Requests that it holds.
     pub fn held(&self) -> usize {
         self.running as usize + self.queue.len()
@@ -148,9 +155,11 @@
         }
         self.offered.push_back((now, work));
         self.sum += work;
-        // Requests of mean work that the settings allow it now, with three roots of them and three more for chance.
+        // Requests of mean work that the settings allow it now; with two roots of them and two more it surely bears
+        // them, with three and three more it falls.
         let allowed = self.spec.fall_factor * self.capacity(now) * self.spec.fall_s / self.mean;
-        self.peak = self.peak.max(self.sum / ((allowed + 2.0 * allowed.sqrt() + 2.0) * self.mean));
+        self.pressed = self.sum / ((allowed + 2.0 * allowed.sqrt() + 2.0) * self.mean);
+        self.peak = self.peak.max(self.pressed);
         self.sum > (allowed + 3.0 * allowed.sqrt() + 3.0) * self.mean
     }
 
@@ -164,35 +173,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_node_runs_queues_and_turns_away() {
-        let spec = NodeSpec { cores: 2, queue: 1, ..NodeSpec::default() };
-        let mut node = Machine::new(spec, 1.0, 0.05);
-        assert_eq!(node.offer(0, 1, 0.05), Offer::Runs(50_000));
-        assert_eq!(node.offer(0, 2, 0.05), Offer::Runs(50_000));
-        assert_eq!((node.offer(0, 3, 0.05), node.offer(0, 4, 0.05)), (Offer::Waits, Offer::Full));
-        assert_eq!(node.done(50_000), Some((3, 100_000)));
-        assert_eq!((node.done(100_000), node.held()), (None, 1));
-    }
-
-    #[test]
-    fn a_cold_node_is_slow_and_falls_when_pushed() {
-        let spec = NodeSpec { cores: 1, cold_from: 0.2, cold_s: 10.0, ..NodeSpec::default() };
-        let mut node = Machine::new(spec, 1.0, 0.1);
-        node.restart(0);
-        assert_eq!(node.offer(0, 0, 0.1), Offer::Runs(500_000));
-        assert!((node.warmth(5_000_000) - 0.6).abs() < 1e-9);
-        // The settings allow 4 x 0.2 x 2 s of work: 16 requests, their root is 4, so it bears 16 + 3 x 4 + 3 = 31.
-        node.restart(10_000_000);
-        // A little less than the mean each, so that rounding decides nothing.
-        let fell = (1..100).find(|n| node.offer(10_000_000, *n, 0.0999) == Offer::Falls);
-        assert_eq!(fell, Some(32));
-        // It surely bears 16 + 2 x 4 + 2 = 26 of them; 32 came, 0.0999 s each against a mean of 0.1 s.
-        assert!((node.cold_peak() - 32.0 * 0.999 / 26.0).abs() < 1e-9, "{}", node.cold_peak());
-        let mut warm = Machine::new(NodeSpec::default(), 1.0, 0.1);
-        assert!((0..500).all(|n| warm.offer(0, n, 0.1) != Offer::Falls), "a warm node only queues");
-    }
-}
+mod tests;
--- a/fleet/src/pressure.rs
+++ b/fleet/src/pressure.rs
@@ -1,6 +1,7 @@
 //! Who presses the cold nodes: what came to each of late, from whom. A node that falls over is told with it.
 
 use plovercove::{Span, Time};
+use serde::Serialize;
 use std::collections::{HashMap, VecDeque};
 use std::fmt;
 
@@ -26,23 +27,35 @@
 }
 
 /// Shares of the work that pressed a node.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub(crate) struct Shares {
-    told: f64,
-    writes: f64,
-    again: f64,
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Shares {
+    /// From routers that had been told of its start.
+    pub told: f64,
+    /// Writes.
+    pub writes: f64,
+    /// Of attempts that were not their requests' first.
+    pub again: f64,
+}
+
+/// The most that came to any cold node within a window.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Peak {
+    /// As a share of what it surely bears.
+    pub pressure: f64,
+    /// Whose it was.
+    pub shares: Shares,
 }
 
 impl Shares {
     /// Whether the routers knew what they did.
-    pub(crate) fn theirs(&self) -> bool {
+    pub fn theirs(&self) -> bool {
         self.told > THEIRS
     }
 }
 
 impl fmt::Display for Shares {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let percent = |share: f64| (share * 100.0).round();
+        let percent = |share: f64| (share * 100.0).round() as u32;
         let (told, writes, again) = (percent(self.told), percent(self.writes), percent(self.again));
         write!(
             f,
@@ -80,22 +93,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn only_the_window_counts_and_shares_are_of_work() {
-        let mut pressure = Pressure::new(2_000_000);
-        let press = |at, work, told| Press { at, work, told, write: false, again: !told };
-        pressure.add(7, press(0, 9.0, false));
-        pressure.add(7, press(2_500_000, 3.0, true));
-        pressure.add(7, press(2_600_000, 1.0, false));
-        let shares = pressure.shares(7);
-        assert_eq!(shares, Shares { told: 0.75, writes: 0.0, again: 0.25 });
-        assert!(shares.theirs());
-        pressure.add(7, press(2_700_000, 1.0, false));
-        assert!(!pressure.shares(7).theirs(), "three of five is under two thirds");
-        pressure.clear(7);
-        assert!(!pressure.shares(7).theirs());
-    }
-}
+mod tests;
--- a/fleet/src/report.rs
+++ b/fleet/src/report.rs
@@ -1,5 +1,6 @@
 //! What a run tells.
 
+use crate::pressure::Peak;
 use crate::rules::Breach;
 use crate::spec::Variant;
 use serde::Serialize;
@@ -72,6 +73,9 @@
     pub fallen: u32,
     /// The most that came to a cold node within a window, as a share of what one surely bears; 1 breaks the promise.
     pub cold_peak: f64,
+    /// Whose the most was, and the most of which over two thirds came from routers that had been told of the start:
+    /// for more than that the rule blames them.
+    pub cold: (Peak, Peak),
     /// Seconds after the loss until service is back to 95 % of what is left.
     pub after_loss: Option<f64>,
     /// Seconds after the return until it is back to 95 % of what it was before the loss.
--- a/fleet/src/world.rs
+++ b/fleet/src/world.rs
@@ -14,7 +14,7 @@
 
 use crate::Dice;
 use crate::node::Machine;
-use crate::pressure::Pressure;
+use crate::pressure::{Peak, Pressure};
 use crate::replication::Group;
 use crate::report::{Part, Report, Second};
 use crate::rules::{Breaches, Rule};
@@ -272,6 +272,8 @@
     window: (f64, f64),
     local: (u64, u64),
     fallen: u32,
+    /// The most that came to a cold node, and the most that came from routers that knew.
+    cold: (Peak, Peak),
     probes: u64,
     to_bad: u64,
     events: u64,
--- a/fleet/src/world/nodes.rs
+++ b/fleet/src/world/nodes.rs
@@ -2,7 +2,7 @@
 
 use super::{Event, World, us};
 use crate::node::Offer;
-use crate::pressure::Press;
+use crate::pressure::{Peak, Press};
 use crate::rules::Rule;
 use crate::spec::Reads;
 use plovercove::{Ending, Listed, Span, Time};
@@ -24,7 +24,8 @@
         if self.spec.classes[class as usize].reads == Reads::Write && !head {
             return self.reply(id, Ending::Missed);
         }
-        if known.machine.warmth(self.now) < 1.0 {
+        let cold = known.machine.warmth(self.now) < 1.0;
+        if cold {
             let started = known.machine.started();
             let told = self.routers[run.router as usize].starts.get(&node).copied() == started
                 || started.is_some_and(|at| self.now > at + DEEMED);
@@ -35,7 +36,19 @@
         if self.bad[node as usize] == Some(None) {
             return self.vanish(id);
         }
-        match known.machine.offer(self.now, id, work) {
+        let offered = known.machine.offer(self.now, id, work);
+        let pressure = known.machine.cold_pressure();
+        let (most, theirs) = &mut self.counted.cold;
+        if cold && pressure > theirs.pressure {
+            let peak = Peak { pressure, shares: self.pressure.shares(node) };
+            if peak.shares.theirs() {
+                *theirs = peak;
+            }
+            if pressure > most.pressure {
+                *most = peak;
+            }
+        }
+        match offered {
             Offer::Runs(until) => self.begins(id, until),
             Offer::Waits => self.runs[id as usize].at_node = true,
             Offer::Full => self.reply(id, Ending::Overloaded),
--- a/fleet/src/world/summary.rs
+++ b/fleet/src/world/summary.rs
@@ -48,6 +48,7 @@
             talked: self.spec.peers.is_some().then(|| self.talked.clone()),
             fallen: self.counted.fallen,
             cold_peak: self.nodes.iter().map(|n| n.machine.cold_peak()).fold(0.0, f64::max),
+            cold: self.counted.cold,
             after_loss,
             after_return,
             p50_ms: self.latencies.value_at_quantile(0.5) as f64 / 1e3,
