--- a/fleet/tests/slow_start.rs
+++ b/fleet/tests/slow_start.rs
@@ -6,7 +6,7 @@
 use plovercove_fleet::{Spec, run};
 
 /// From 1 to 300 routers; among them the nearest to the bound of those that were played, before turns and since.
-const SEEDS: [u64; 10] = [4, 15, 19, 23, 28, 29, 45, 65, 87, 101];
+const SEEDS: [u64; 12] = [4, 15, 19, 23, 28, 29, 45, 65, 87, 101, 103, 145];
 /// 20 routers, a burst of twice a load that is high already, nodes that fall early.
 const HIGH: u64 = 21;
 
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -399,9 +399,9 @@
         started + self.now.saturating_sub(started) / span * span
     }
 
-    /// Whether a cold node, which falls over when pushed, may have a request: where this router's part of what
-    /// it bears in a turn covers that; a part under one request is one in so many turns, each at its own point.
-    /// Danger: chance bounds no burst. But hundreds find no request in their turns: they look at reports.
+    /// Whether a cold node, which falls over when pushed, may have a request: where this router's part of
+    /// what it bears in a turn covers that; a part under one request is one in so many turns, at a point of
+    /// its own. Danger: chance bounds no burst. But hundreds find no request in their turns: they go by it.
     fn has_turn(&self, r: &Request, node: &Node, peers: f64) -> bool {
         let (turn, warm, known) = (self.turn(node), self.warm_share(node), &self.classes[r.what.class]);
         let cores = if self.told > 0.0 { self.cores } else { CORES / 2.0 };
