What waits for a node that leaves ends at once and goes elsewhere

Cause: Upstream::list closed the idle connections of a node that leaves and left its waiting jobs and connections under way alone (retire, router/src/upstream/pg.rs), so an attempt stayed for up to DialTimeout at a node where nothing may begin, and its connection came up for nobody. Known from reading (docs/ROADMAP.md); may_begin kept it from being sent. Change: release_waiting ends both where the core says that nothing may begin there.

--- a/router/src/upstream/pg.rs
+++ b/router/src/upstream/pg.rs
@@ -190,9 +190,25 @@
             }
         }
         self.release_addresses(now, core);
+        self.release_waiting(now, core);
         self.forget_gone(now, core);
     }
 
+    /// Ends what waits or is under way at nodes where nothing may begin any more. Danger: it would wait for a connection
+    /// that must carry nothing, and its time be gone before another node is tried.
+    fn release_waiting(&mut self, now: Time, core: &mut Core) {
+        let busy = |node: &Node| node.coming > 0 || !node.waiting.is_empty();
+        let shut = |(id, node): &(&NodeId, &Node)| busy(node) && !core.may_begin(None, id, now);
+        let shut: Vec<NodeId> = self.nodes.iter().filter(shut).map(|(id, _)| id.clone()).collect();
+        for id in shut {
+            self.disconnect(&id, core);
+            let waiting = self.nodes.get_mut(&id).map(|node| std::mem::take(&mut node.waiting));
+            for job in waiting.unwrap_or_default() {
+                self.fail(job, &id, Ending::Void, now, core);
+            }
+        }
+    }
+
     /// An address is no longer that of a node that no list names, where it belongs to another by now. Danger: where dropped
     /// nodes stay open, what is meant for the one would go to the other.
     fn release_addresses(&mut self, now: Time, core: &mut Core) {
