A cancel that crosses the words that end its own connection is heard

Cause: a connection that gave up its place, or was told its end before it had said anything, was only heard out: heard_out discarded what came, a CancelRequest with it (router/src/front/pg.rs). Known from reading; clients whose requests are cancelled count as gone, and theirs went on. Change: hear_late_cancel reads the first packet of one that has not opened yet, whole or in pieces, also at its close. Measured: the new test failed without it (no answer instead of 57014) and passes with it; standing_crossings passes (22 tests).

--- a/router/src/front/pg.rs
+++ b/router/src/front/pg.rs
@@ -636,6 +636,7 @@
         let Some(mut client) = self.clients.remove(key) else { return };
         if client.leaving.is_some() {
             // Danger: what has come since the last look would reset the connection. The rest of it is the other side's.
+            Self::hear_late_cancel(&mut self.words, &mut client);
             let _ = client.stream.discard();
         }
         core.deadlines.set(&mut client.look, Due::Client(key), None);
@@ -810,7 +811,7 @@
             self.cancel_wanted(now, core);
             let Some(client) = self.clients.get_mut(key) else { continue };
             let done = sent && client.pending.is_empty();
-            if done && client.phase == Phase::Closing && Self::heard_out(client, now) {
+            if done && client.phase == Phase::Closing && Self::heard_out(&mut self.words, client, now) {
                 self.close(key, core);
                 continue;
             }
@@ -832,10 +833,13 @@
     }
 
     /// All has been said to a client that is to go: it is told so, and heard out; true once that is over.
-    fn heard_out(client: &mut Client, now: Time) -> bool {
+    fn heard_out(words: &mut Words, client: &mut Client, now: Time) -> bool {
         if client.leaving.is_none() {
             client.leave(now + LEAVE.0);
         }
+        if let Some(peer) = Self::hear_late_cancel(words, client) {
+            return peer != Peer::Open;
+        }
         let Some((_, left)) = &mut client.leaving else { return true };
         match client.stream.discard() {
             Ok(count) => {
@@ -846,6 +850,24 @@
         }
     }
 
+    /// One that was told its end before it had said anything may want a cancel all the same: the two have crossed. Danger:
+    /// unheard, its request would be sent on for nobody. Returns whether the other side is there, while that is not known.
+    fn hear_late_cancel(words: &mut Words, client: &mut Client) -> Option<Peer> {
+        let mut door = client.door.take_if(|door| !door.opened())?;
+        let peer = client.stream.fill();
+        let rules = &words.entries[client.entry].terms.rules;
+        match door.take(rules, client.stream.unread(), "", &mut Vec::new()) {
+            Ok(Some((_, Step::Cancel(wanted)))) => words.wanted.push((client.entry, wanted)),
+            Ok(None) => {
+                client.door = Some(door);
+                return Some(peer);
+            }
+            // It wants something else, for which it comes too late.
+            _ => {}
+        }
+        None
+    }
+
     /// Queues the answers whose turn it is, takes in what there is room for, and writes. Says whether all is written, and
     /// whether something is left to read in the next turn.
     fn exchange(
--- a/router/tests/standing_crossings.rs
+++ b/router/tests/standing_crossings.rs
@@ -134,6 +134,28 @@
     assert_eq!(client.hears(), Some(Said::Error("57014".into())));
 }
 
+#[test]
+fn a_cancel_that_crosses_the_words_that_end_its_connection_counts() {
+    // Danger: its connection has given up its place and is only heard out; the request would run on for nobody.
+    for cut in [0, 7, 16] {
+        let mut desk = Desk::new(2);
+        let mut client = desk.greeted();
+        desk.ask(&mut client, "a1");
+        let mut wishes = Client::dial(desk.to);
+        desk.until("it is taken in", |desk| desk.front.connected() == 2);
+        let _newcomer = Client::dial(desk.to);
+        desk.front.accept(plovercove_core::Key::from_number(0), desk.now, &mut desk.core);
+        desk.finish_turn();
+        assert_eq!(desk.hear(&mut wishes), Said::Error("53300".into()), "its place was wanted");
+        let wish = wish(&client.key);
+        for piece in [&wish[..cut], &wish[cut..]].into_iter().filter(|piece| !piece.is_empty()) {
+            wishes.write(piece);
+            desk.turn();
+        }
+        assert_eq!(client.hears(), Some(Said::Error("57014".into())), "in pieces of {cut} bytes and the rest");
+    }
+}
+
 /// All places held by requests, and as many beyond them as there may be.
 fn full(desk: &mut Desk, places: usize, say: &[u8]) -> (Vec<Client>, Vec<Client>) {
     let mut busy: Vec<Client> = (0..places).map(|_| desk.greeted()).collect();
