Cold nodes: routers go by turns up to 96 divided by the multiple that nodes fall at

Cause: beyond 24 routers a cold node was spared by chance and reports alone (Balancer::has_turn, src/balance.rs), which do not know OverloadFactor; what was drawn for the tests fell at 2.5 to 5 times its capacity, another customer's nodes fall at 2. Change: turns, whose parts add up, hold up to max(24, 96 / OverloadFactor) routers; beyond that as before. Module's tests and slow_start pass.

--- a/fleet/tests/drawn/mod.rs
+++ b/fleet/tests/drawn/mod.rs
@@ -45,6 +45,14 @@
     spec
 }
 
+/// The same, whose nodes fall at twice their present capacity, as another customer's do.
+#[allow(dead_code, reason = "the scan by hand draws the others")]
+pub fn early(seed: u64) -> Spec {
+    let mut spec = drawn(seed);
+    spec.node.fall_factor = 2.0;
+    spec
+}
+
 pub fn told(seed: u64, spec: &Spec, report: &Report) -> String {
     let (zone, node) = (&spec.zones[0], &spec.node);
     let (most, theirs) = &report.cold;
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -41,6 +41,7 @@
 const COLD_USE: f64 = 0.6; // of what a warm node would get, by chance a cold one has warm share times this
 const COLD_WRITES: f64 = 3.0; // ... and so many times that of writes: they fill half of a warm primary
 const TURNS: Span = 4; // turns in the time that pushes a cold node over: any such time meets one more
+const BY_TURNS: f64 = 96.0; // routers that go by turns, times the multiple of capacity that nodes fall at
 const GOLDEN: f64 = 0.618_033_988_749_895; // golden ratio: its multiples spread evenly over the unit
 const LEAVING: (f64, Span) = (0.2, 3_000_000); // share of clients that leave early, and how long that counts
 const HELD_FADE: (f64, f64) = (2e6, 5e6); // what a node holds fades towards the mean so, and that to nothing
@@ -156,6 +157,7 @@
     waiting: BTreeSet<RequestId>,
     busy: BTreeSet<NodeId>, // nodes with attempts out or just ended, or set aside: what a look-over visits
     thin: bool, // a router's share of a node's limit is under one request: chance takes the limit's place
+    chance: bool, // cold nodes are spared by chance and reports, not by turns
     in_service: usize, // nodes in service by the list
     classes: Vec<ClassState>,
     old: Span,              // data older than this is of use only to reads that any data will do for
@@ -181,6 +183,7 @@
             turn: u64::from(settings.index),
             resubscribe: settings.subscribe.then_some(0),
             thin: LIMIT.0 < f64::from(settings.routers),
+            chance: LIMIT.0.max(BY_TURNS / settings.overload_factor) < f64::from(settings.routers),
             used: (vec![0.0; settings.tenants.len()], 0),
             cores: CORES,
             cfg: settings,
@@ -239,8 +242,7 @@
     fn prune(&mut self) {
         let known: BTreeSet<_> = self.requests.values().flat_map(|r| &r.attempts).map(|a| &a.node).collect();
         let (now, used) = (self.now, |n: &Node| !n.out.is_empty() || known.contains(&n.entry.node));
-        let open = |n: &Node| n.closed.is_none() && now < n.answered + DROPPED;
-        self.nodes.retain(|_, n| !n.gone || open(n) || used(n));
+        self.nodes.retain(|_, n| !n.gone || (n.closed.is_none() && now < n.answered + DROPPED) || used(n));
         self.busy.retain(|id| self.nodes.contains_key(id));
         for group in self.groups.values_mut() {
             group.members.retain(|id| self.nodes.contains_key(id));
@@ -332,8 +334,7 @@
         let need = match self.cfg.classes[r.what.class].access {
             Access::Write => return false,
             Access::Any => return true,
-            // Between this decision and the send no time passes; a tick is kept for the clock's grain.
-            Access::Bounded(bound) => (now + self.cfg.tick).saturating_sub(bound),
+            Access::Bounded(bound) => (now + self.cfg.tick).saturating_sub(bound), // a tick is its grain
             Access::OwnWrites | Access::Latest => r.need.unwrap_or(0),
         };
         let slack = match self.cfg.replica_check {
@@ -401,9 +402,9 @@
         started + self.now.saturating_sub(started) / span * span
     }
 
-    /// Whether a cold node, which falls over when pushed, may have a request: where this router's part of
-    /// what it bears in a turn covers that; a part under one request is one in so many turns, at a point of
-    /// its own. Danger: chance bounds no burst. But hundreds find no request in their turns: they go by it.
+    /// Whether a cold node, which falls over when pushed, may have a request: where the router's part of what
+    /// it bears in a turn covers it; a part under one is one in so many turns, at a point of its own.
+    /// Danger: chance bounds no burst. But hundreds find no request in their turns: they go by it.
     fn has_turn(&self, r: &Request, node: &Node, peers: f64) -> bool {
         let (turn, warm, known) = (self.turn(node), self.warm_share(node), &self.classes[r.what.class]);
         let cores = if self.told > 0.0 { self.cores } else { CORES / 2.0 };
@@ -413,7 +414,7 @@
         let point = (own + turn as f64 / span * TURNS as f64 * GOLDEN).fract();
         let spent = if node.spent.0 == turn { node.spent.1 } else { 0.0 };
         let fits = self.since <= Some(turn) && spent + point * known.work.unwrap_or(known.latency) <= part;
-        let fits = if self.thin { r.luck <= warm * COLD_USE * peers } else { fits };
+        let fits = if self.chance { r.luck <= warm * COLD_USE * peers } else { fits };
         fits || warm >= 1.0 || matches!(&self.zoning, Some(z) if z.paces()) // zones bring allowances
     }
 
@@ -499,7 +500,7 @@
         let (all, kept): (Vec<&Node>, Vec<&Node>) = members.partition(|n| self.admitted(r, n, peers));
         let wanted = |n: &&Node| (Some(&n.entry.node) == primary) == (access == Access::Write);
         // Nobody but a cold primary takes writes, so they wait for their turn at it.
-        let waits = |n: &Node| access == Access::Write && !self.thin && !self.has_turn(r, n, peers);
+        let waits = |n: &Node| access == Access::Write && !self.chance && !self.has_turn(r, n, peers);
         let kept = kept.iter().any(|n| wanted(n) && !waits(n));
         let head = all.iter().copied().find(|n| Some(&n.entry.node) == primary && self.usable(n));
         let (node, ask) = match access {
@@ -674,17 +675,16 @@
         let (now, left) = (self.now, self.requests[&id].due.saturating_sub(self.now));
         let Some(node_id) = self.choose(id, actions).filter(|_| left >= self.cfg.tick) else { return };
         let (r, node, write) = (&self.requests[&id], &self.nodes[&node_id], self.is_write(id));
-        let (mean, slowness) = (self.classes[r.what.class].latency, node.slowness(now));
-        let patience = ((mean * PATIENCE.0 * slowness.min(2.0)) as Span).max(PATIENCE.1);
+        let (known, slowness, turn) = (&self.classes[r.what.class], node.slowness(now), self.turn(node));
+        let patience = ((known.latency * PATIENCE.0 * slowness.min(2.0)) as Span).max(PATIENCE.1);
         let timeout = if write { left } else { patience.min(left) };
-        let (cost, turn) = (self.cost(node, r), self.turn(node));
-        let work = self.classes[r.what.class].work.unwrap_or(mean);
+        let (cost, work) = (self.cost(node, r), known.work.unwrap_or(known.latency));
         let node = self.nodes.get_mut(&node_id).expect("chosen from the map");
         node.spent = (turn, work + if node.spent.0 == turn { node.spent.1 } else { 0.0 });
         let r = self.requests.get_mut(&id).expect("placed requests exist");
         self.busy.insert(node_id.clone());
         self.waiting.remove(&id);
-        node.out.insert((id, r.attempts.len() as u32), (now, cost, mean * slowness));
+        node.out.insert((id, r.attempts.len() as u32), (now, cost, known.latency * slowness));
         if let Some(key) = r.what.session.as_ref().filter(|_| !write) {
             node.recent.push_back((key.clone(), r.what.class));
             node.recent.drain(..node.recent.len().saturating_sub(HISTORY));
--- a/tests/turns.rs
+++ b/tests/turns.rs
@@ -1,6 +1,7 @@
 //! Turns at cold nodes, where routers are few: what all of them send to one stays under what the settings allow, however
 //! uneven they are, whatever they send and whenever they restart; and it is most of that where enough is asked for. Where
-//! there are more than 24, chance and the nodes' reports take the place of turns: `growth.rs`, `fleet/tests/slow_start.rs`.
+//! there are more than 24, or than 96 divided by the multiple of its capacity that a node falls at, chance and the nodes'
+//! reports take the place of turns: `growth.rs`, `fleet/tests/slow_start.rs`.
 
 mod common;
 
@@ -17,7 +18,9 @@
 const LONG: usize = 6;
 
 fn cfg(index: u32, routers: u32) -> Settings {
-    let mut cfg = Settings { index, routers, overload_factor: 4.0, overload_span: 2_000 * MS, ..settings() };
+    // More than 24 go by turns where nodes fall early: up to 96 divided by the multiple.
+    let overload_factor = if routers > 24 { 2.0 } else { 4.0 };
+    let mut cfg = Settings { index, routers, overload_factor, overload_span: 2_000 * MS, ..settings() };
     cfg.classes.push(Class { aim: 1_200 * MS, ..class("long", Access::Any, Effect::Idempotent) });
     cfg
 }
@@ -27,8 +30,8 @@
 }
 
 /// The budget of a window that ends then (us of work).
-fn budget(at: Time) -> f64 {
-    let cfg = cfg(0, 1);
+fn budget(at: Time, routers: u32) -> f64 {
+    let cfg = cfg(0, routers);
     let warm = cfg.cold_share + (1.0 - cfg.cold_share) * (at - T0) as f64 / cfg.cold_span as f64;
     cfg.overload_factor * warm * GUESSES.0 * cfg.overload_span as f64
 }
@@ -118,11 +121,11 @@
 
 /// The most in a window over what it may be: the budget of the settings, and in each turn that it meets a request more,
 /// of the dearest class.
-fn most(sent: &[(Time, f64)], dearest: f64) -> f64 {
+fn most(sent: &[(Time, f64)], dearest: f64, routers: u32) -> f64 {
     let window = cfg(0, 1).overload_span;
     let ends = sent.iter().enumerate().map(|(last, (at, _))| {
         let inside = sent[..=last].iter().filter(|(then, _)| then + window >= *at);
-        inside.map(|(_, work)| work).sum::<f64>() / (budget(*at) + (TURNS + 1) as f64 * dearest)
+        inside.map(|(_, work)| work).sum::<f64>() / (budget(*at, routers) + (TURNS + 1) as f64 * dearest)
     });
     ends.fold(0.0, f64::max)
 }
@@ -130,7 +133,7 @@
 #[test]
 fn all_routers_turns_stay_under_the_budget_of_any_window() {
     let mut played = 0;
-    for routers in [1, 2, 3, 5, 12, 20, 24] {
+    for routers in [1, 2, 3, 5, 12, 20, 24, 30, 48] {
         for (n, (skew, restarts)) in [(1.0, 0.0), (6.0, 0.0), (3.0, 0.02), (1.0, 0.2)].into_iter().enumerate()
         {
             for classes in [&[ANY][..], &[KEYED], &[ANY, LONG, KEYED, ANY]] {
@@ -139,7 +142,7 @@
                 let how = Play { routers, rate: 5.0, skew, restarts, classes, seed };
                 let dearest = classes.iter().map(|c| work(*c)).fold(0.0, f64::max);
                 for (node, sent) in play(how) {
-                    let most = most(&sent, dearest);
+                    let most = most(&sent, dearest, routers);
                     assert!(most <= 1.0, "{most:.2} at {node}: {how:?}");
                     played += 1;
                 }
@@ -153,13 +156,13 @@
 fn turns_are_used_where_enough_is_asked_for() {
     // Danger: what keeps a node from falling must not keep it idle. Of the budget of a window four turns in five are dealt
     // out, and each is a fifth; what the routers that are asked little leave is lost.
-    for routers in [1, 2, 5, 12, 20, 24] {
+    for routers in [1, 2, 5, 12, 20, 24, 30, 48] {
         let how = Play { routers, rate: 40.0, skew: 1.0, restarts: 0.0, classes: &[ANY], seed: 3 };
         for (node, sent) in play(how).iter().filter(|(node, _)| ***node != *"p") {
             let all: f64 = sent.iter().map(|(_, work)| work).sum();
             // The budget rises evenly, so its mean over the play is that of the middle.
             let windows = (END - T0) as f64 / cfg(0, 1).overload_span as f64;
-            let part = all / (budget((T0 + END) / 2) * windows);
+            let part = all / (budget((T0 + END) / 2, routers) * windows);
             assert!((0.6..=0.95).contains(&part), "{part:.2} of the budget at {node}: {how:?}");
         }
     }
