Tests: a node that closes after an answer, and a connection begun for a request that has gone

Checked: who waits at a node that closes after an answer has a connection of its own under way and is served on it; who waits behind a connection that was begun for a request whose client has gone goes elsewhere once that fails, at once and without having run. Excluded as faults. Change: a test for each crossing, no change of the program. Measured: with the last look before a connection's next job taken out the first fails (nothing else did), with the waiting one kept waiting the second does; 29 tests of the pools pass.

--- a/router/src/upstream/pg/tests.rs
+++ b/router/src/upstream/pg/tests.rs
@@ -744,6 +744,47 @@
     }
 }
 
+#[test]
+fn what_waits_at_a_node_that_closes_after_an_answer_has_a_connection_of_its_own() {
+    // The one that has answered is free, and its end has come behind the answer: the waiting one must not be put on it,
+    // and must not fail with it either.
+    let node = node();
+    let mut pools = Pools::before(&[("p", &node)]);
+    let mut link = pools.idle("p", &node);
+    let first = pools.asks("a1", WRITE, 0);
+    let second = pools.asks("a2", WRITE, 0);
+    assert_eq!(pools.open(), (2, 1), "one at work, one under way");
+    assert_eq!(link.statement().expect("a statement").as_deref(), Some("a1"));
+    link.answer("a1").expect("the pools are there");
+    link.end().expect("the pools are there");
+    assert_eq!(pools.end_of(first), served("a1"));
+    serves(&mut pools, &node, "a2", second);
+    assert_eq!(pools.sent, ["p".into(), "p".into()], "one attempt each");
+}
+
+#[test]
+fn what_waits_behind_a_connection_begun_for_another_goes_elsewhere_with_it() {
+    // The first request's client has gone; the second takes over its connection, which does not come up in its time.
+    let (deaf, p, r2) = (Deaf::start(HANGS).expect("a node"), node(), node());
+    let nowhere = deaf.address().expect("bound");
+    let mut pools = Pools::new(settings());
+    let serving = |at| (Listed::Serving, Some(at));
+    let (up, away) = (serving(at(&p)), serving(nowhere));
+    pools.told(true, &[("p", up.0, up.1), ("r1", away.0, away.1)]);
+    let first = pools.asks("a1", READ, 0);
+    assert_eq!(pools.sent, ["r1".into()]);
+    pools.later(DIAL / 2);
+    pools.core.gone(first);
+    pools.settle();
+    let second = pools.asks("a2", READ, 0);
+    assert_eq!((pools.sent.len(), pools.open()), (2, (1, 0)), "no second one is begun");
+    let up = serving(at(&r2));
+    pools.told(false, &[("r2", up.0, up.1)]);
+    pools.later(DIAL / 2);
+    assert_eq!(pools.sent[2..], ["r2".into()], "it never ran, and goes elsewhere at once");
+    serves(&mut pools, &r2, "a2", second);
+}
+
 /// Time passes in small steps until there is a further attempt, or the request has ended.
 fn further(pools: &mut Pools, request: Key, attempts: usize) -> bool {
     for _ in 0..1_000 {
