Gossip: the log tells what each observer said of a node when its verdict changes

Change: two lines at level debug: 'testimonies' when a verdict changes (observer, zone, age, failures, answers, for how long, how many of how many nodes fail for it) and 'observed' when this router tells what it saw. Nothing else changes.

--- a/gossip/src/event.rs
+++ b/gossip/src/event.rs
@@ -2,10 +2,12 @@
 
 use crate::datagram::Fault;
 use crate::incarnation::Incarnation;
+use crate::observations::Observation;
 use crate::outlier_vote::{Level, Verdict};
 use plovercove::{Micros, NodeId};
 use serde::Serialize;
 use std::collections::BTreeMap;
+use std::fmt;
 
 /// What came about, for the log.
 #[derive(Clone, Debug, PartialEq)]
@@ -41,7 +43,45 @@
         verdict: Verdict,
         /// Whether this router tries it for all.
         tries: bool,
+        /// What was said of the node at that moment.
+        testimonies: Vec<Testimony>,
     },
+    /// This router tells the others what it saw of a node.
+    Observed {
+        /// The node.
+        node: NodeId,
+        /// What it saw.
+        observation: Observation,
+    },
+}
+
+/// What one router says of a node, with the names that operators know.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Testimony {
+    /// Who says it.
+    pub observer: String,
+    /// The zone it stands in.
+    pub zone: String,
+    /// What it saw.
+    pub observation: Observation,
+    /// How long ago it said so.
+    pub age: Micros,
+}
+
+impl fmt::Display for Testimony {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Testimony {
+            observer,
+            zone,
+            observation,
+            age,
+        } = self;
+        write!(
+            out,
+            "{observer} of zone {zone}, {} ms ago: {observation}",
+            age / 1_000
+        )
+    }
 }
 
 /// A part that came for another crate.
--- a/gossip/src/lib.rs
+++ b/gossip/src/lib.rs
@@ -21,7 +21,7 @@
 
 pub use datagram::{Envelope, Fault, Keys, MOST, Part, carried};
 pub use error::Error;
-pub use event::{Counts, GossipEvent, ReceivedPart, Snapshot};
+pub use event::{Counts, GossipEvent, ReceivedPart, Snapshot, Testimony};
 pub use gossip::{Datagram, Gossip};
 pub use incarnation::Incarnation;
 pub use observations::{Observation, Observations, PeerEvidence};
--- a/gossip/src/observations.rs
+++ b/gossip/src/observations.rs
@@ -4,6 +4,7 @@
 use plovercove::{AttemptEnd, EndpointState, EndpointUpdate, Micros, NodeId, Time};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::fmt;
 
 /// A sample of slowness counts for so much in a running mean: some ten samples of memory.
 const GAIN: f64 = 0.1;
@@ -77,6 +78,21 @@
     }
 }
 
+impl fmt::Display for Observation {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            out,
+            "{:.1} failures, {:.1} answers, slowness {:.1}, for {:.1} s; {} of {} nodes fail",
+            self.failures(),
+            f64::from(self.answers) / 10.0,
+            self.slowness().unwrap_or(0.0),
+            f64::from(self.lasted) / 10.0,
+            self.failing,
+            self.nodes
+        )
+    }
+}
+
 #[derive(Default)]
 struct Node {
     started: Option<Time>,
--- a/gossip/src/observer.rs
+++ b/gossip/src/observer.rs
@@ -74,6 +74,11 @@
             .map(|(s, started, _)| (s, *started))
     }
 
+    /// The start of a node that the list tells.
+    pub(crate) fn started_at(&self, node: &NodeId) -> Option<Time> {
+        self.members.get(node).and_then(|(_, started, _)| *started)
+    }
+
     /// Whether the list names a node.
     pub(crate) fn is_listed(&self, node: &NodeId) -> bool {
         self.members.contains_key(node)
--- a/gossip/src/records.rs
+++ b/gossip/src/records.rs
@@ -1,6 +1,7 @@
 //! What each router says of what it saw: versioned by origin, start and sequence, ended by age, and repaired.
 
 use crate::datagram::{Envelope, Part, kind};
+use crate::event::Testimony;
 use crate::incarnation::Incarnation;
 use crate::observations::Observation;
 use crate::outlier_vote::Opinion;
@@ -306,6 +307,20 @@
         all
     }
 
+    /// What is said of one subject, with the names of who says it.
+    pub(crate) fn testimonies(&self, now: Time, subject: &str) -> Vec<Testimony> {
+        let held = self.held.values();
+        let of_subject = held.filter(|held| held.record.subject == subject);
+        of_subject
+            .map(|held| Testimony {
+                observer: held.record.origin.clone(),
+                zone: held.record.zone.clone(),
+                observation: held.seen,
+                age: now.saturating_sub(held.born),
+            })
+            .collect()
+    }
+
     /// The number of a name, if any record has it.
     pub(crate) fn number(&self, name: &str) -> Option<u32> {
         self.numbers.0.get(name).copied()
--- a/gossip/src/review.rs
+++ b/gossip/src/review.rs
@@ -134,6 +134,7 @@
             let record = Record::of_node(&self.me, self.records, &node, started, &observation);
             if let Some(record) = record {
                 self.store.put(now, record, 0);
+                self.tell(GossipEvent::Observed { node, observation });
             }
         }
     }
@@ -162,11 +163,14 @@
         let trial_interval = self.rules.evidence() / 8;
         observer.set(now, node, level, tries.then_some(trial_interval));
         if was != level {
+            let subject = subject(node, observer.started_at(node));
+            let testimonies = self.store.testimonies(now, &subject);
             self.tell(GossipEvent::Verdict {
                 node: node.clone(),
                 was,
                 verdict,
                 tries,
+                testimonies,
             });
         }
     }
--- a/router/src/gossip.rs
+++ b/router/src/gossip.rs
@@ -13,7 +13,7 @@
 use std::any::Any;
 use std::io::ErrorKind;
 use std::net::{SocketAddr, UdpSocket};
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 /// Datagrams read in one turn: a flood of them leaves time for clients.
 const EACH_TURN: usize = 64;
@@ -316,12 +316,18 @@
                 "datagrams that cannot be taken"
             );
         }
+        GossipEvent::Observed { node, observation } => {
+            debug!(reason = "observed", %node, saw = %observation, "tells the others what it saw");
+        }
         GossipEvent::Verdict {
             node,
             was,
             verdict,
             tries,
+            testimonies,
         } => {
+            let testimonies: Vec<String> = testimonies.iter().map(ToString::to_string).collect();
+            debug!(reason = "testimonies", %node, said = testimonies.join("; "), "what the verdict rests on");
             info!(
                 reason = "verdict",
                 %node,
