Gossip: a further failure no longer makes an accusation weaker

Seen by callers (peers on): a node that all had taken out came back doubted though it still failed. An accusation was also told anew where nothing had failed since, and so outlived its evidence. Change: while a node fails, what is told of it says no less than before; it is told again only if it has failed since.

--- a/gossip/src/observations.rs
+++ b/gossip/src/observations.rs
@@ -57,6 +57,20 @@
         self.failures() >= SIGHT && self.failures() >= f64::from(self.answers) / 10.0
     }
 
+    /// With the failures of what was told before, where those were more and the node fails still: counts fade, and a further
+    /// failure must not make an accusation weaker.
+    fn with_failures_of(self, told: &Observation) -> Observation {
+        if !self.fails() || told.failures() <= self.failures() {
+            return self;
+        }
+        Observation {
+            errors: told.errors,
+            silent: told.silent,
+            unreachable: told.unreachable,
+            ..self
+        }
+    }
+
     /// Whether it answers.
     pub fn serves(&self) -> bool {
         !self.fails() && f64::from(self.answers) / 10.0 >= SIGHT
@@ -105,6 +119,8 @@
     told: Option<(Time, Observation)>,
     /// When it answered last.
     answered: Time,
+    /// When it failed last.
+    failed: Time,
     /// Since when enough others accuse it that it matters what this router saw.
     contested: Option<Time>,
     /// Since when it fails or is slow.
@@ -119,6 +135,11 @@
         self.at = now;
     }
 
+    /// Whether it failed since it was told last: an accusation told again without that would outlive its evidence.
+    fn has_failed_since_told(&self) -> bool {
+        self.told.is_none_or(|(told_at, _)| self.failed > told_at)
+    }
+
     fn seen(&self, now: Time, half: f64) -> Observation {
         let factor = 0.5_f64.powf(now.saturating_sub(self.at) as f64 / half);
         let tenths = |count: f64| (count * factor * 10.0).round().min(65_535.0) as u16;
@@ -235,8 +256,10 @@
         };
         node.fade(now, half);
         node.counts[place] += 1.0;
-        if place == 0 {
-            node.answered = now;
+        match place {
+            0 => node.answered = now,
+            1..=3 => node.failed = now,
+            _ => {}
         }
         if ending == AttemptEnd::Success
             && let Some(usual) = self.usual.get_mut(class)
@@ -289,10 +312,9 @@
             }
             let stale = since >= incarnation / 3;
             let worth = if seen.fails() {
-                let more = seen.failures() >= told.failures() + 0.9;
-                let goes_on = more || (stale && node.at + incarnation / 3 > now);
+                let has_grown = seen.failures() >= told.failures() + 0.9;
                 if told.fails() {
-                    goes_on
+                    has_grown || (stale && node.has_failed_since_told())
                 } else {
                     others(&id).accusers < ENOUGH.0
                 }
@@ -319,6 +341,7 @@
                     lasted,
                     ..seen
                 };
+                let seen = seen.with_failures_of(&told);
                 node.told = Some((now, seen));
                 news.push((id, node.started, seen));
             }
--- a/gossip/src/observations/tests.rs
+++ b/gossip/src/observations/tests.rs
@@ -100,3 +100,24 @@
         "{told:?}"
     );
 }
+
+#[test]
+fn a_further_failure_makes_an_accusation_no_weaker_and_without_one_it_ends() {
+    // Failure: counts fade, and an accusation that was told again took a node back in that still failed.
+    let (mut observations, rules) = observations(&["x"]);
+    let third = rules.evidence() / 3;
+    for n in 0..3 {
+        observations.ended(S + n, 0, false, &"x".into(), AttemptEnd::TimedOut, S);
+    }
+    let first = tell(&mut observations, &rules, S + 3, false);
+    observations.ended(S + third, 0, false, &"x".into(), AttemptEnd::TimedOut, S);
+    let again = tell(&mut observations, &rules, 2 * S + third, false);
+    assert_eq!(first.len(), 1);
+    assert_eq!(again.len(), 1);
+    assert!(
+        again[0].1.failures() >= first[0].1.failures(),
+        "{first:?}, then {again:?}"
+    );
+    let later = tell(&mut observations, &rules, 2 * S + 2 * third, false);
+    assert!(later.is_empty(), "nothing came of it since: {later:?}");
+}
--- a/gossip/tests/fleet.rs
+++ b/gossip/tests/fleet.rs
@@ -227,7 +227,8 @@
 
 #[test]
 fn who_comes_late_is_told_what_was_said_before() {
-    for seed in 0..4 {
+    // In the last two an accusation is told again, after a further failure, just when all was said.
+    for seed in (0..4).chain([176, 184]) {
         assert!(late_comer(nine(seed)).is_some(), "seed {seed}");
     }
     assert!(
