Gossip: who has not been answered since a node began to fail accuses it not yet

Seen by callers (peers on): two routers in two zones that are cut off from most nodes get a healthy replica out for all for 0.1 s and doubted for 4 s more. Cause: the share of nodes that fail was taken of all that had been seen of late, those that served by answers from before the cut among them. Change: gossip/src/reach.rs. A first or growing accusation waits until twice as many others as fail have answered since the node began to fail, or those that have not could not make the accuser blame itself; who failed at the last attempt counts as one that may be cut off.

--- a/experiments/faults-guards.star
+++ b/experiments/faults-guards.star
@@ -41,6 +41,12 @@
         "rate": 120,
         "faults": [_fault(0.5, 5, wires = {"routers": ["n0", "n3"], "nodes": _most})],
     },
+    # They are cut off from four of the nine: more than a third, and five still answer.
+    "blame-four": {
+        "clients": ["n0", "n3"],
+        "rate": 120,
+        "faults": [_fault(0.5, 5, wires = {"routers": ["n0", "n3"], "nodes": ["s4", "s5", "s7", "s8"]})],
+    },
     # Two of three members die.
     "third": {"faults": [_fault(0.5, 5, node_silent = {"nodes": ["s4", "s5"]})]},
     # A primary is slow.
--- a/experiments/tests/faults.rs
+++ b/experiments/tests/faults.rs
@@ -56,28 +56,33 @@
     }
 }
 
-/// Plays a guard's own case twice at once: with the guard nothing is broken, and without it this check strikes.
+/// Plays a guard's own case: with the guard nothing is broken, and without it this check strikes.
 fn check_catches_the_absence_of(guard: &'static str, check: &str) {
+    check_catches_in_case(guard, guard, check);
+}
+
+/// Plays a case twice at once: with a guard nothing is broken, and without it this check strikes.
+fn check_catches_in_case(case: &'static str, guard: &'static str, check: &str) {
     let _alone = ALONE
         .lock()
         .unwrap_or_else(std::sync::PoisonError::into_inner);
     // Cargo builds the router's program for the whole workspace only. One that was left by a build without the feature takes
     // no guard away, and all checks would seem to catch nothing.
-    let unknown = ["--case", guard, "--without", "no-such-guard"];
+    let unknown = ["--case", case, "--without", "no-such-guard"];
     let (_, text) = faults("faults-guards.star", &unknown);
     assert!(
         text.contains("no guard is"),
         "build the router with `--features mutations` first: {text}"
     );
-    let with = std::thread::spawn(move || faults("faults-guards.star", &["--case", guard]));
-    let without = ["--case", guard, "--without", guard];
+    let with = std::thread::spawn(move || faults("faults-guards.star", &["--case", case]));
+    let without = ["--case", case, "--without", guard];
     let (_, without) = faults("faults-guards.star", &without);
     let (good, with) = with.join().expect("it is played");
     assert!(
         without.contains(&format!("    {check} at ")),
         "without {guard} nothing is caught: {without}"
     );
-    assert!(good, "{guard}: {with}");
+    assert!(good, "{case}: {with}");
 }
 
 #[test]
@@ -100,6 +105,12 @@
     check_catches_the_absence_of("blame", "links");
 }
 
+#[test]
+fn without_doubt_of_who_is_cut_off_from_four_of_nine_a_node_is_out_for_links_that_are_not_its_own()
+{
+    check_catches_in_case("blame-four", "blame", "links");
+}
+
 #[test]
 fn without_the_bound_of_a_third_more_nodes_are_out() {
     check_catches_the_absence_of("third", "third");
--- a/gossip/src/lib.rs
+++ b/gossip/src/lib.rs
@@ -14,6 +14,7 @@
 mod observations;
 mod observer;
 mod outlier_vote;
+mod reach;
 mod records;
 mod replay;
 mod review;
--- a/gossip/src/observations.rs
+++ b/gossip/src/observations.rs
@@ -1,6 +1,7 @@
 //! What one router saw of each db node's present life, and when that is worth telling the others.
 
-use crate::rules::{HOLD, Rules};
+use crate::reach::Reach;
+use crate::rules::{Guard, HOLD, Rules};
 use plovercove::{AttemptEnd, EndpointState, EndpointUpdate, Micros, NodeId, Time};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -125,6 +126,8 @@
     contested: Option<Time>,
     /// Since when it fails or is slow.
     since: Option<Time>,
+    /// Since when it fails.
+    failing_since: Option<Time>,
 }
 
 impl Node {
@@ -140,6 +143,14 @@
         self.told.is_none_or(|(told_at, _)| self.failed > told_at)
     }
 
+    /// Whether what it fails at may be the fault of this router's own links. An accusation that goes on needs answers of
+    /// others since it was told last.
+    fn is_uncertain(&self, reach: &Reach) -> bool {
+        let told_at = self.told.filter(|(_, told)| told.fails()).map(|(at, _)| at);
+        let since = self.failing_since.max(told_at);
+        since.is_some_and(|since| reach.is_uncertain_since(since))
+    }
+
     fn seen(&self, now: Time, half: f64) -> Observation {
         let factor = 0.5_f64.powf(now.saturating_sub(self.at) as f64 / half);
         let tenths = |count: f64| (count * factor * 10.0).round().min(65_535.0) as u16;
@@ -275,6 +286,24 @@
         }
     }
 
+    /// How all nodes stand, by what was seen of each.
+    fn reach(&self, seen: &[(NodeId, Observation)]) -> Reach {
+        let mut reach = Reach::default();
+        for (id, seen) in seen {
+            let Some(node) = self.nodes.get(id) else {
+                continue;
+            };
+            if seen.fails() {
+                reach.failing += 1;
+            } else if seen.serves() && node.failed > node.answered {
+                reach.suspected += 1;
+            } else if seen.serves() {
+                reach.last_answers.push(node.answered);
+            }
+        }
+        reach
+    }
+
     /// What is worth telling now: a node that begins or goes on to fail, or that is slow, and what this router saw of one
     /// that others accuse; `others` tells how many others accuse it, and how many say that it serves. Each with its node, that node's start, and what was seen.
     pub fn news(
@@ -289,8 +318,7 @@
             .iter()
             .map(|(id, n)| (id.clone(), n.seen(now, half)))
             .collect();
-        let nodes = seen.iter().filter(|(_, s)| s.fails() || s.serves()).count() as u16;
-        let failing = seen.iter().filter(|(_, s)| s.fails()).count() as u16;
+        let reach = self.reach(&seen);
         let mut news = Vec::new();
         for (id, seen) in seen {
             let Some(node) = self.nodes.get_mut(&id) else {
@@ -307,16 +335,19 @@
             let slow = seen.is_slow();
             let bad = seen.fails() || slow;
             node.since = node.since.or(Some(now)).filter(|_| bad);
+            node.failing_since = node.failing_since.or(Some(now)).filter(|_| seen.fails());
             if since < HOLD {
                 continue;
             }
             let stale = since >= incarnation / 3;
             let worth = if seen.fails() {
                 let has_grown = seen.failures() >= told.failures() + 0.9;
-                if told.fails() {
-                    has_grown || (stale && node.has_failed_since_told())
+                if told.fails() && !has_grown {
+                    stale && node.has_failed_since_told()
+                } else if rules.on(Guard::Blame) && node.is_uncertain(&reach) {
+                    false
                 } else {
-                    others(&id).accusers < ENOUGH.0
+                    told.fails() || others(&id).accusers < ENOUGH.0
                 }
             } else if seen.serves() {
                 let was = told.is_slow();
@@ -336,8 +367,8 @@
                     .map_or(0, |from| now.saturating_sub(from) / 100_000)
                     .min(65_535) as u16;
                 let seen = Observation {
-                    nodes,
-                    failing,
+                    nodes: reach.nodes().min(65_535) as u16,
+                    failing: reach.failing.min(65_535) as u16,
                     lasted,
                     ..seen
                 };
--- a/gossip/src/observations/tests.rs
+++ b/gossip/src/observations/tests.rs
@@ -121,3 +121,32 @@
     let later = tell(&mut observations, &rules, 2 * S + 2 * third, false);
     assert!(later.is_empty(), "nothing came of it since: {later:?}");
 }
+
+#[test]
+fn who_cannot_tell_yet_whether_its_own_links_fail_accuses_nobody() {
+    // Failure: a router that is cut off accuses the node that it asks least, since it takes all others for serving by their
+    // answers from before the cut.
+    let names = ["x", "p", "q", "r", "s"];
+    let (mut observations, rules) = observations(&names);
+    for name in &names[1..] {
+        for n in 0..20 {
+            observations.ended(S + n, 0, false, &(*name).into(), AttemptEnd::Success, 5_000);
+        }
+    }
+    observations.ended(2 * S, 0, false, &"x".into(), AttemptEnd::TimedOut, S);
+    assert!(tell(&mut observations, &rules, 2 * S, false).is_empty());
+    observations.ended(3 * S, 0, false, &"p".into(), AttemptEnd::Success, 5_000);
+    assert!(
+        tell(&mut observations, &rules, 3 * S, false).is_empty(),
+        "one answer may come from the only node that is not cut off"
+    );
+    observations.ended(3 * S, 0, false, &"q".into(), AttemptEnd::Success, 5_000);
+    let told = tell(&mut observations, &rules, 3 * S, false);
+    assert!(
+        told.len() == 1 && told[0].0 == "x" && told[0].1.fails(),
+        "{told:?}"
+    );
+    // It fails on, and nobody has answered since that was told.
+    observations.ended(4 * S, 0, false, &"x".into(), AttemptEnd::TimedOut, S);
+    assert!(tell(&mut observations, &rules, 4 * S, false).is_empty());
+}
--- a/gossip/src/outlier_vote.rs
+++ b/gossip/src/outlier_vote.rs
@@ -2,6 +2,7 @@
 //! list come to the same verdicts, and nobody has to lead.
 
 use crate::observations::Observation;
+use crate::reach::blames_itself;
 use crate::rules::{Guard, Rules};
 use plovercove::{GroupId, Micros, NodeId};
 use std::collections::{BTreeMap, BTreeSet};
@@ -10,8 +11,6 @@
 const SLOW: (f64, f64) = (3.0, 8.0);
 /// Of those who saw a node of late, so many must find it bad: for less weight, and for none.
 const SHARE: (f64, f64) = (0.4, 0.6);
-/// One who sees so many nodes fail, and more than a third of those it sees, has a broken link of its own.
-const BLAME: u32 = 3;
 /// At most one of so many members of a group is out.
 const THIRD: usize = 3;
 
@@ -173,8 +172,7 @@
         *accused += u16::from(opinion.seen.fails());
     }
     let blames = |(failing, nodes, accused): (u16, u16, u16)| {
-        let most = u32::from(failing.max(accused));
-        most >= BLAME && 3 * most > u32::from(nodes)
+        blames_itself(usize::from(failing.max(accused)), usize::from(nodes))
     };
     let blind: BTreeSet<u32> = sights
         .into_iter()
--- a/gossip/tests/fleet.rs
+++ b/gossip/tests/fleet.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{BEGIN, Net, S, address, calm, dies, good, keys, lossy, zone};
-use plovercove::{AttemptEnd, Endpoint, EndpointUpdate, Micros, Time};
+use plovercove::{AttemptEnd, Endpoint, EndpointUpdate, Micros, NodeId, Time};
 use plovercove_gossip::{
     Envelope, GossipEvent, Guard, Incarnation, Level, Observation, Part, Record, Rules, carried,
 };
@@ -362,6 +362,43 @@
     );
 }
 
+/// Two routers in two zones are cut off from all nodes but one. The three that they ask least time out first; attempts at the
+/// others are under way for so long that their answers from before the cut still count.
+fn cut_off_while_attempts_wait(mut net: Net) -> usize {
+    let is_rarely_asked = |node: &NodeId| ["s1", "s5", "s7"].contains(&&**node);
+    let nothing_yet = (AttemptEnd::Overloaded, 1);
+    net.joined();
+    net.fate = Box::new(move |_, router, node, _| {
+        if is_rarely_asked(node) || router >= 2 {
+            nothing_yet
+        } else {
+            (AttemptEnd::Success, 5_000)
+        }
+    });
+    net.run(10 * S);
+    let cut_at = net.now;
+    net.fate = Box::new(move |now, router, node, _| match &**node {
+        "s0" => (AttemptEnd::Success, 5_000),
+        _ if router >= 2 => nothing_yet,
+        _ if is_rarely_asked(node) || now > cut_at + 6 * S => (AttemptEnd::TimedOut, 900_000),
+        _ => nothing_yet,
+    });
+    net.run(30 * S);
+    net.outs().len()
+}
+
+#[test]
+fn routers_that_most_nodes_have_not_answered_since_accuse_none() {
+    for seed in 0..8 {
+        let outs = cut_off_while_attempts_wait(nine(seed));
+        assert_eq!(outs, 0, "seed {seed}");
+    }
+    assert!(
+        cut_off_while_attempts_wait(without(0, Guard::Blame)) > 0,
+        "the check catches nothing"
+    );
+}
+
 /// A router is cut off from all for 3 s, and so suspected. It is back just when another router is stopped, for longer than
 /// suspicions last, with its buffers full: does that one take it for gone when it wakes?
 fn stopped(mut net: Net) -> usize {
