Front: a close waits until the system has sent the answer that it holds

Seen by callers: a client that reads a large answer slowly gets a reset in the middle of it when the router ends the connection (idle, end of a drain, eviction for a newcomer) and the client sends one more byte. Cause: an answer counted as sent once the system had taken it; 300 ms later the socket was closed, and the system resets a closed connection on the first byte that comes, with what it still holds. Evidence: forced over loopback (receive buffer 4 KiB, answer 600 KB): each of the three closes gave 'left: Reset, right: Ready'; without the byte the answer came whole. Change: before the close the system is asked for what it has not sent (SIOCOUTQNSD, in poller/, the crate that may be unsafe); while there is any the connection lingers, 2.5 s at the most, and holds one of the descriptors beyond the places, which it gives up to a newcomer after 300 ms. Where the system does not tell, all is as before.

--- a/poller/src/lib.rs
+++ b/poller/src/lib.rs
@@ -13,6 +13,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// The request for the bytes of a connection that have not been sent, `SIOCOUTQNSD` of Linux' `linux/sockios.h`.
+const SIOCOUTQNSD: libc::Ioctl = 0x894B;
+
 mod sealed {
     pub trait Sealed {}
 }
@@ -111,6 +114,24 @@
     }
 }
 
+impl Registered<TcpStream> {
+    /// Bytes that were written and that the system has not sent yet, since the other side has no room for them; the end of the
+    /// stream counts as one.
+    ///
+    /// # Errors
+    ///
+    /// Where the system does not tell.
+    pub fn unsent_bytes(&self) -> io::Result<usize> {
+        let mut bytes: libc::c_int = 0;
+        // SAFETY: the descriptor is open for as long as `self` lives, and the request writes one integer, which outlives it.
+        let result = unsafe { libc::ioctl(self.socket.as_raw_fd(), SIOCOUTQNSD, &mut bytes) };
+        if result < 0 {
+            return Err(io::Error::last_os_error());
+        }
+        Ok(usize::try_from(bytes).unwrap_or(0))
+    }
+}
+
 impl<S: Socket> Drop for Registered<S> {
     fn drop(&mut self) {
         // It can only fail for a socket that the poller does not hold any more, which is what is wanted.
--- a/router/src/front/client.rs
+++ b/router/src/front/client.rs
@@ -22,8 +22,10 @@
 /// queries. With its end unseen, what waits would be sent on for nobody. A client that sends more floods; its end is seen
 /// when its answers have made room.
 pub(super) const MAX_READ_AHEAD_BYTES: usize = 256 * 1024;
-/// How long answers may lie unread.
+/// How long answers may lie unread, here or in the system's buffer.
 const UNREAD_ANSWER_TIMEOUT: Micros = 2_500_000;
+/// Between two looks at whether a lingering client's answer has left the system's buffer.
+const DELIVERY_CHECK_INTERVAL: Micros = 50_000;
 /// Errors of protocol in a row that end a session.
 const MAX_PROTOCOL_ERRORS: u32 = 8;
 /// Bytes that a lingering client may still send. A close with bytes unread resets the connection, which may destroy the last
@@ -68,7 +70,22 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Linger {
     pub(super) until: Time,
+    /// It ends then, also with an answer in the system's buffer.
+    give_up_at: Time,
     pub(super) bytes_left: usize,
+    /// Its last answer lies in the system's buffer still. Closed now, the connection would be reset by whatever the client
+    /// sends, and the answer would go with it.
+    is_delivering: bool,
+}
+
+impl Linger {
+    fn eviction_kind(&self) -> EvictionKind {
+        if self.is_delivering {
+            EvictionKind::Delivering
+        } else {
+            EvictionKind::Lingering
+        }
+    }
 }
 
 /// A client.
@@ -150,8 +167,7 @@
             return None;
         }
         let kind = match self.phase {
-            Phase::Closing if self.is_lingering() => EvictionKind::Lingering,
-            Phase::Closing => return None,
+            Phase::Closing => self.linger?.eviction_kind(),
             Phase::Rejecting => EvictionKind::Rejecting,
             _ if !self.has_requested => EvictionKind::NoRequestYet,
             _ if self.is_idle() => EvictionKind::Idle,
@@ -226,15 +242,28 @@
     }
 
     /// From now on nothing that it sends is begun; our end is closed, and the other is read until then.
-    pub(super) fn begin_linger(&mut self, until: Time) {
+    pub(super) fn begin_linger(&mut self, now: Time, timeout: Micros) {
         self.phase = Phase::Closing;
         self.linger = Some(Linger {
-            until,
+            until: now + timeout,
+            give_up_at: now + timeout.max(UNREAD_ANSWER_TIMEOUT),
             bytes_left: MAX_LINGER_BYTES,
+            is_delivering: self.stream.is_delivering(),
         });
+        self.last_progress_at = now;
         self.stream.finish();
     }
 
+    /// The time of a lingering client is up: whether it lingers on, since its answer has not left the system's buffer.
+    pub(super) fn lingers_on(&mut self, now: Time) -> bool {
+        let Some(linger) = &mut self.linger else {
+            return false;
+        };
+        linger.is_delivering = self.stream.is_delivering();
+        linger.until = linger.give_up_at.min(now + DELIVERY_CHECK_INTERVAL);
+        linger.is_delivering && now < linger.give_up_at
+    }
+
     /// Tells one that is closed before it has asked: without a word it would not know whether coming again is harmless.
     pub(super) fn announce_close(&mut self) {
         if self.has_requested || self.phase == Phase::Closing || self.stream.unsent() > 0 {
--- a/router/src/front/eviction.rs
+++ b/router/src/front/eviction.rs
@@ -28,6 +28,8 @@
     Lingering,
     /// Beyond the limit, and it has not said who it is.
     Rejecting,
+    /// Told to go, and its last answer has not left the system's buffer.
+    Delivering,
     /// It has asked for nothing yet.
     NoRequestYet,
     /// Between requests.
@@ -35,11 +37,11 @@
 }
 
 impl EvictionKind {
-    const COUNT: usize = 4;
+    const COUNT: usize = 5;
 
     /// It holds no place any more, or none yet.
     fn is_beyond_limit(self) -> bool {
-        self <= EvictionKind::Rejecting
+        self <= EvictionKind::Delivering
     }
 }
 
@@ -86,7 +88,9 @@
 
     /// How many hold no place.
     pub(super) fn beyond_limit(&self) -> usize {
-        self.count(EvictionKind::Lingering) + self.count(EvictionKind::Rejecting)
+        self.count(EvictionKind::Lingering)
+            + self.count(EvictionKind::Rejecting)
+            + self.count(EvictionKind::Delivering)
     }
 
     fn replace(&mut self, client: Key, old: Option<EvictionRank>, new: Option<EvictionRank>) {
@@ -149,6 +153,7 @@
             .is_some_and(|entry| match entry.rank.kind {
                 EvictionKind::Lingering => true,
                 EvictionKind::Rejecting => entry.rank.since + MIN_TIME_BEYOND_LIMIT <= now,
+                EvictionKind::Delivering => entry.rank.since + IDLE_LINGER_TIMEOUT <= now,
                 EvictionKind::NoRequestYet | EvictionKind::Idle => false,
             })
     }
@@ -210,7 +215,7 @@
             self.close(key, engine);
             return true;
         }
-        client.begin_linger(now + IDLE_LINGER_TIMEOUT);
+        client.begin_linger(now, IDLE_LINGER_TIMEOUT);
         self.mark(key);
         self.reschedule(key, engine);
         true
--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -154,7 +154,7 @@
         let Some(deadline) = client.deadline() else {
             return;
         };
-        if deadline > now {
+        if deadline > now || client.lingers_on(now) {
             self.reschedule(key, engine);
         } else if client.is_lingering() || client.stream.unsent() > 0 {
             self.close(key, engine);
@@ -232,7 +232,7 @@
         }
         if client.message_began_at.is_some() {
             client.announce_close();
-            client.begin_linger(now + IDLE_LINGER_TIMEOUT);
+            client.begin_linger(now, IDLE_LINGER_TIMEOUT);
         }
         self.mark(key);
         self.reschedule(key, engine);
--- a/router/src/front/shutdown.rs
+++ b/router/src/front/shutdown.rs
@@ -78,7 +78,7 @@
     /// All has been said to a client that is to go: our end is closed and the other read; true once that is over.
     pub(super) fn linger_is_over(&mut self, context: &mut Context, now: Time) -> bool {
         if !self.is_lingering() {
-            self.begin_linger(now + LINGER_TIMEOUT);
+            self.begin_linger(now, LINGER_TIMEOUT);
         }
         if let Some(peer) = self.hear_late_cancel(context) {
             return peer != Peer::Open;
--- a/router/src/net/stream.rs
+++ b/router/src/net/stream.rs
@@ -9,6 +9,9 @@
 /// Chunks read in one go: a peer that sends at full speed gets its next turn when the others had theirs.
 const CHUNKS: usize = 4;
 
+/// What the end of a stream counts among the bytes that are not sent.
+const END_OF_STREAM: usize = 1;
+
 /// What a read found out about the other side.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Peer {
@@ -138,6 +141,14 @@
         self.output.len() - self.written
     }
 
+    /// Whether something that was written lies in the system's buffer, the stream's end aside. No, where the system does not
+    /// tell: nobody waits for what cannot be seen.
+    pub fn is_delivering(&self) -> bool {
+        self.socket
+            .unsent_bytes()
+            .is_ok_and(|bytes| bytes > END_OF_STREAM)
+    }
+
     /// Whether nothing of what is to go has left yet.
     pub fn untouched(&self) -> bool {
         self.written == 0
--- a/router/tests/front_desk/mod.rs
+++ b/router/tests/front_desk/mod.rs
@@ -12,6 +12,7 @@
 use plovercove_router::net::budget::Budget;
 use plovercove_router::net::{Source, split};
 use plovercove_settings::Names;
+use socket2::{Domain, Socket, Type};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
@@ -186,6 +187,11 @@
 
     /// A db node answers what was begun last.
     pub fn serve(&mut self) {
+        self.serve_with(b"C\0\0\0\x0dSELECT 1\0");
+    }
+
+    /// A db node answers what was begun last with these messages.
+    pub fn serve_with(&mut self, messages: &[u8]) {
         let (attempt, _) = self.sent.pop().expect("an attempt was begun");
         self.engine.attempt_written(attempt);
         let said = NodeReport::default();
@@ -194,7 +200,7 @@
             .attempt_ended(self.now, attempt, AttemptEnd::Success, said, said)
             .expect("it is owed");
         let mut reply = self.budget.buffer();
-        reply.write(|out| out.extend_from_slice(b"C\0\0\0\x0dSELECT 1\0"));
+        reply.write(|out| out.extend_from_slice(messages));
         self.front.pass_on(origin, attempt.request, reply, self.now);
         self.turn();
     }
@@ -278,7 +284,18 @@
 
 impl Client {
     pub fn dial(to: SocketAddr) -> Self {
-        let stream = TcpStream::connect(to).expect("it listens");
+        Self::over(TcpStream::connect(to).expect("it listens"))
+    }
+
+    /// One whose system holds few bytes that it has not read.
+    pub fn dial_with_little_room(to: SocketAddr) -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.set_recv_buffer_size(4_096).expect("little room");
+        socket.connect(&to.into()).expect("it listens");
+        Self::over(socket.into())
+    }
+
+    fn over(stream: TcpStream) -> Self {
         stream.set_nodelay(true).expect("no delay");
         stream.set_nonblocking(true).expect("no waiting");
         Client {
@@ -294,6 +311,11 @@
         arrival::acknowledged(arrival::port(&self.stream));
     }
 
+    /// Writes without waiting for anything.
+    pub fn write_at_once(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).expect("it is connected");
+    }
+
     /// Says that it sends nothing more, and waits until that is known on the other side.
     pub fn finish(&mut self) {
         self.stream
