--- /dev/null
+++ b/tests/known_red.rs
@@ -0,0 +1,74 @@
+//! The list of tests that are known to fail: an entry holds all that is needed to reproduce it, or CI does not accept it.
+
+use std::io::Write;
+use std::path::Path;
+use std::process::{Command, Stdio};
+
+const GOOD: &str =
+    "faults a_test | plovercove-experiments faults x.star --case blame | seed 1 | s5 is out | 25";
+
+/// What the reader of the list prints for it, or the error that it ends with.
+fn read(list: &str) -> Result<String, String> {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let mut reader = Command::new(root.join(".ci/known-red"))
+        .arg("/dev/stdin")
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("it runs");
+    let mut input = reader.stdin.take().expect("it reads");
+    input.write_all(list.as_bytes()).expect("it takes the list");
+    drop(input);
+    let output = reader.wait_with_output().expect("it ends");
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+    if output.status.success() {
+        Ok(text(&output.stdout))
+    } else {
+        Err(text(&output.stderr))
+    }
+}
+
+/// The error for the good entry with a part of it changed.
+fn error_of(part: &str, instead: &str) -> String {
+    assert!(GOOD.contains(part), "{part}");
+    read(&GOOD.replace(part, instead)).expect_err(instead)
+}
+
+#[test]
+fn entries_are_told_apart_and_comments_passed_over() {
+    let flaky = "lib a::b | cargo test --lib | no seed | flaky 4 of 72: as told | 38";
+    let list = format!("# a comment\n\n{GOOD}\n{flaky}\n");
+    assert_eq!(
+        read(&list).expect("both are good"),
+        "faults\ta_test\tred\ts5 is out\t25\nlib\ta::b\tflaky\tflaky 4 of 72: as told\t38\n"
+    );
+    assert_eq!(read("# nothing\n").expect("an empty list"), "");
+}
+
+#[test]
+fn an_entry_without_one_of_its_fields_is_refused_by_name() {
+    assert!(error_of(" | 25", "").contains(":1: expected five fields"));
+    assert!(error_of("faults a_test", "a_test").contains("test: expected TARGET TEST"));
+    assert!(error_of("plovercove-experiments faults x.star --case blame", "").contains("command:"));
+    assert!(error_of("seed 1", "").contains("seed:"));
+    assert!(error_of("s5 is out", " ").contains("seen:"));
+    assert!(error_of("25", "").contains("issue:"));
+}
+
+#[test]
+fn an_entry_that_holds_something_else_is_refused_by_name() {
+    assert!(error_of("plovercove-experiments", "see the log of").contains("command:"));
+    assert!(error_of("seed 1", "some seed").contains("seed:"));
+    assert!(error_of("s5 is out", "flaky: at times").contains("flaky N of M"));
+    assert!(error_of("25", "soon").contains("issue: expected a number"));
+}
+
+#[test]
+fn a_test_is_listed_once() {
+    let error = read(&format!("{GOOD}\n{GOOD}\n")).expect_err("twice");
+    assert!(
+        error.contains(":2: ") && error.contains("listed twice"),
+        "{error}"
+    );
+}
