Emulator: routers end with the process that started them, also where that is killed

Cause: a killed process ends nobody. Evidence: routers that write to their log die of the closed pipe (case partition: none stayed), stopped ones stay for good (case stopped: state T, parent 1). Change: a shell reads from a pipe which routers were started and which have ended, and kills the rest once the pipe closes. Result: a_rig_that_is_killed_leaves_no_process_behind; without the mend it failed: 'its routers are still there: [T]'.

--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod links;
 mod node;
 pub mod old;
+mod orphans;
 pub mod page;
 pub mod process;
 pub mod rough;
--- a/emulator/src/process.rs
+++ b/emulator/src/process.rs
@@ -1,6 +1,7 @@
 //! A router's process: started, watched by its log, signalled by its id, and ended. The one owner of all three for the
 //! lab, the rig and the tests.
 
+use crate::orphans;
 use rustix::process::{Pid, Signal, kill_process};
 use std::fs;
 use std::io::{self, BufRead, BufReader};
@@ -143,6 +144,13 @@
         let mut child = more(&mut command)
             .spawn()
             .map_err(|e| format!("{}: {e}", program.display()))?;
+        if let Err(e) = orphans::started(child.id()) {
+            let _ = child.kill();
+            let _ = child.wait();
+            return Err(format!(
+                "nobody ends the router if this process is killed: {e}"
+            ));
+        }
         let err = child.stderr.take();
         let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
         let mut process = Process {
@@ -219,7 +227,7 @@
     /// Does this to it. It may have ended already, which is no fault.
     pub fn strike(&mut self, blow: Blow) {
         // Danger: the number of a process that has been waited for may be another's by now.
-        if matches!(self.child.try_wait(), Ok(Some(_))) {
+        if self.status().is_some() {
             return;
         }
         let signal = match blow {
@@ -235,11 +243,18 @@
         }
     }
 
+    /// How it ended, if it has.
+    fn status(&mut self) -> Option<ExitStatus> {
+        let status = self.child.try_wait().ok().flatten()?;
+        orphans::ended(self.child.id());
+        Some(status)
+    }
+
     /// Waits for its end.
     pub fn ended(&mut self, within: Duration) -> Option<ExitStatus> {
         let until = Instant::now() + within;
         loop {
-            if let Ok(Some(status)) = self.child.try_wait() {
+            if let Some(status) = self.status() {
                 return Some(status);
             }
             if Instant::now() >= until {
@@ -255,6 +270,7 @@
         // Its own child, stopped or not: whoever wants it to end in peace has told it so before.
         let _ = self.child.kill();
         let _ = self.child.wait();
+        orphans::ended(self.child.id());
     }
 }
 
--- a/experiments/tests/faults.rs
+++ b/experiments/tests/faults.rs
@@ -126,41 +126,70 @@
     check_catches_the_absence_of("age", "agreement");
 }
 
-/// Processes whose command line holds these words.
-fn running(words: &str) -> usize {
+/// The states of the processes whose command line holds these words, as the system's letters.
+fn states(words: &str) -> Vec<char> {
     let all = std::fs::read_dir("/proc").expect("processes");
-    let lines = all
-        .flatten()
-        .filter_map(|p| std::fs::read(p.path().join("cmdline")).ok());
-    lines
-        .filter(|line| String::from_utf8_lossy(line).contains(words))
-        .count()
+    let state = |process: std::fs::DirEntry| {
+        let line = std::fs::read(process.path().join("cmdline")).ok()?;
+        let stat = std::fs::read_to_string(process.path().join("stat")).ok()?;
+        let (_, after_name) = stat.rsplit_once(") ")?;
+        let is_one = String::from_utf8_lossy(&line).contains(words);
+        after_name.chars().next().filter(|_| is_one)
+    };
+    all.flatten().filter_map(state).collect()
+}
+
+/// Waits until the processes with these words are as wanted.
+fn wait_for(words: &str, what: &str, is_so: impl Fn(&[char]) -> bool) {
+    let until = Instant::now() + Duration::from_secs(30);
+    while !is_so(&states(words)) {
+        assert!(Instant::now() < until, "{what}: {:?}", states(words));
+        std::thread::sleep(Duration::from_millis(20));
+    }
 }
 
-#[test]
-fn a_rig_that_is_interrupted_leaves_no_process_behind() {
-    let _alone = ALONE
-        .lock()
-        .unwrap_or_else(std::sync::PoisonError::into_inner);
+/// Starts a rig. With the words that its routers are known by: their files' folder bears its process's number.
+fn rig(case: &str) -> (std::process::Child, String) {
     let mut command = lab();
     command
         .arg("faults")
         .arg(script("faults-peers.star"))
-        .args(["--case", "partition"]);
-    let mut rig = command
+        .args(["--case", case]);
+    let rig = command
         .stdout(Stdio::null())
         .stderr(Stdio::null())
         .spawn()
         .expect("the program starts");
-    // Its routers are known by their files, whose folder bears its process's number.
-    let mine = format!("/plovercove-{}-faults", rig.id());
-    let until = Instant::now() + Duration::from_secs(30);
-    while running(&mine) < 9 {
-        assert!(Instant::now() < until, "its routers do not start");
-        std::thread::sleep(Duration::from_millis(20));
-    }
+    let routers = format!("/plovercove-{}-faults", rig.id());
+    (rig, routers)
+}
+
+fn signal(rig: &std::process::Child, signal: rustix::process::Signal) {
     let id = rustix::process::Pid::from_raw(rig.id() as i32).expect("a process");
-    rustix::process::kill_process(id, rustix::process::Signal::TERM).expect("it runs");
+    rustix::process::kill_process(id, signal).expect("it runs");
+}
+
+#[test]
+fn a_rig_that_is_interrupted_leaves_no_process_behind() {
+    let _alone = ALONE
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner);
+    let (mut rig, routers) = rig("partition");
+    wait_for(&routers, "its routers do not start", |all| all.len() >= 9);
+    signal(&rig, rustix::process::Signal::TERM);
+    assert!(!rig.wait().expect("it ends").success());
+    assert_eq!(states(&routers), [], "its routers are still there");
+}
+
+#[test]
+fn a_rig_that_is_killed_leaves_no_process_behind() {
+    // Failure: routers that it had stopped, or that wrote nothing to their log, stayed and disturbed what was played next.
+    let _alone = ALONE
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner);
+    let (mut rig, routers) = rig("stopped");
+    wait_for(&routers, "none is stopped", |all| all.contains(&'T'));
+    signal(&rig, rustix::process::Signal::KILL);
     assert!(!rig.wait().expect("it ends").success());
-    assert_eq!(running(&mine), 0, "its routers are still there");
+    wait_for(&routers, "its routers are still there", <[char]>::is_empty);
 }
