Gossip: an accusation that was outvoted does not win when its answers grow old

Cause: who is served by an accused node is believed for 6 s, an accusation for 15 s, so one that all contradicted won 6 s later. Evidence: testimonies of the wrong verdicts on the model: 12 to 14 accusers of one failure each, 5.8 to 7.3 s old; 31 to 93 who were served, nearly all 6.0 to 6.5 s old. For each accuser one node failed of 9 to 81, so none was cut off. Change: going from the latest word to the oldest, an accusation is void where those who spoke since outvote it. The new test failed before: 'left: Out, right: In'.

--- a/gossip/src/outlier_vote.rs
+++ b/gossip/src/outlier_vote.rs
@@ -74,6 +74,37 @@
     pub why: &'static str,
 }
 
+impl Opinion {
+    /// Whether it speaks against the node.
+    pub(crate) fn accuses(&self) -> bool {
+        self.seen.fails() || self.seen.is_slow()
+    }
+}
+
+/// These opinions without the accusations that were outvoted by what was said since.
+///
+/// Who is served says so once, and is believed for a shorter time than an accusation lives. Without this an accusation that
+/// all others contradicted would win as soon as they are believed no more.
+pub(crate) fn without_outvoted<'a>(
+    opinions: impl Iterator<Item = &'a Opinion>,
+) -> Vec<&'a Opinion> {
+    let mut opinions: Vec<&Opinion> = opinions.collect();
+    // The latest first; of two that spoke at once, who is served.
+    opinions.sort_by_key(|opinion| (opinion.age, opinion.accuses(), opinion.observer));
+    let (mut accusing, mut serving) = (0, 0);
+    opinions.retain(|opinion| {
+        if !opinion.accuses() {
+            serving += u32::from(opinion.seen.serves());
+            return true;
+        }
+        let share = f64::from(accusing + 1) / f64::from(accusing + 1 + serving);
+        let stands = share >= SHARE.0;
+        accusing += u32::from(stands);
+        stands
+    });
+    opinions
+}
+
 /// One node as all see it.
 fn weigh(
     rules: &Rules,
@@ -84,9 +115,10 @@
 ) -> (Verdict, Micros) {
     let settle = rules.settle();
     // Danger: a node that dies would be held up by what it did before: who is answered by it says so again and again.
-    let counts = |o: &&Opinion| o.seen.fails() || o.seen.is_slow() || o.age <= rules.fresh();
+    let counts = |o: &&Opinion| o.accuses() || o.age <= rules.fresh();
     let sees = |o: &&Opinion| !blind.contains(&o.observer);
-    let told: Vec<&Opinion> = opinions.iter().filter(sees).filter(counts).collect();
+    let standing = without_outvoted(opinions.iter().filter(sees)).into_iter();
+    let told: Vec<&Opinion> = standing.filter(counts).collect();
     // What is bad for longer stays the worse: whom a group cannot spare must not change from one review to the next.
     let lasted = |bad: &[&Opinion]| {
         bad.iter()
--- a/gossip/src/outlier_vote/tests.rs
+++ b/gossip/src/outlier_vote/tests.rs
@@ -140,6 +140,25 @@
     assert_eq!(on_x(told), Level::In);
 }
 
+#[test]
+fn an_accusation_that_was_outvoted_does_not_win_when_its_answers_grow_old() {
+    // Failure: a busy node timed out once for each of several routers, was answered for by all others, and went out when
+    // those were believed no more, while the accusations still were.
+    let at = |age: Micros, o: Opinion| Opinion { age, ..o };
+    let accusers = ["n1", "n2", "n3", "n4"].iter().zip(["a", "b", "c", "a"]);
+    let accused: Vec<Opinion> = accusers.map(|(n, z)| at(8 * S, says(n, z, 0, 4))).collect();
+    let served = ["n5", "n6", "n7", "n8", "n9", "o1", "o2"].map(|n| at(7 * S, says(n, "c", 5, 0)));
+    assert!(rules().fresh() < 7 * S && 8 * S < rules().evidence());
+    assert_eq!(on_x(accused.clone()), Level::Out, "nobody answered");
+    let both: Vec<Opinion> = accused.iter().copied().chain(served).collect();
+    assert_eq!(on_x(both.clone()), Level::In);
+    // It dies after that: what is said since counts, and the old answers hold it up no longer.
+    let dies = ["n1", "n2", "n3"].iter().zip(["a", "b", "c"]);
+    let dies = dies.map(|(n, z)| at(2 * S, says(n, z, 0, 4)));
+    let since: Vec<Opinion> = both.into_iter().skip(3).chain(dies).collect();
+    assert_eq!(on_x(since), Level::Out);
+}
+
 #[test]
 fn an_accusation_waits_for_its_answer() {
     let young = |n, z| Opinion {
--- a/gossip/src/review.rs
+++ b/gossip/src/review.rs
@@ -7,7 +7,7 @@
 use crate::gossip::Gossip;
 use crate::observations::PeerEvidence;
 use crate::observer::Observer;
-use crate::outlier_vote::{Level, Opinion, Subject, Verdict, judge};
+use crate::outlier_vote::{Level, Opinion, Subject, Verdict, judge, without_outvoted};
 use crate::records::{Record, subject};
 use crate::rules::{Guard, Rules};
 use plovercove::{Micros, NodeId, Time};
@@ -193,13 +193,18 @@
     opinions: impl Iterator<Item = &'a Opinion> + Clone,
     random_draw: f64,
 ) -> PeerEvidence {
-    let accuses = |o: &&Opinion| o.seen.fails() || o.seen.is_slow();
-    let accusations = opinions.clone().filter(accuses);
+    let is_fresh = |o: &&Opinion| o.age <= rules.fresh();
+    // Those that were outvoted count here while they are fresh: more accusers than may be outvoted must not speak.
+    let fresh_accusers = opinions.clone().filter(|o| o.accuses()).filter(is_fresh);
+    let standing = without_outvoted(opinions);
+    let accusations = standing.iter().copied().filter(|o| o.accuses());
     let failures = accusations.clone();
     let failures: f64 = failures.map(|o| o.seen.failures().min(rules.each())).sum();
-    let slow = opinions.clone().filter(|o| o.seen.is_slow()).count();
-    let accusers = accusations.count();
-    let supporters = opinions.filter(|o| !accuses(o) && o.age <= rules.fresh());
+    let slow = standing.iter().filter(|o| o.seen.is_slow()).count();
+    let old_accusers = accusations.filter(|o| !is_fresh(o));
+    let accusers = fresh_accusers.count() + old_accusers.count();
+    let supporters = standing.iter().copied().filter(|o| !o.accuses());
+    let supporters = supporters.filter(is_fresh);
     let is_substantial = failures * 2.0 >= f64::from(rules.failures) || slow >= 2;
     PeerEvidence {
         accusers,
