Gossip: an old failure is not told as if it were new

Cause: no more than 12 routers accuse one node. The others kept their one failure to themselves and told it with age 0 once the first accusations were no longer fresh. Evidence: testimonies on the model: 36 accusations of 0.4 to 0.6 s in one review, all of one failure, seconds after the node had been jammed. Change: an accusation, first or grown, is told only within 2 s of the failure, as long as one who is served may say so. The new test failed before: an accusation told 3 s after its failure.

--- a/gossip/src/observations.rs
+++ b/gossip/src/observations.rs
@@ -17,7 +17,8 @@
 /// of them datagrams. Of a node that is merely busy, whom hundreds of routers meet rarely, some always know nothing but a
 /// time-out: those it serves must be able to outvote them.
 const ENOUGH: (usize, usize) = (12, 24);
-/// Who answers an accusation must have been answered by the node within this time: what it did before says nothing.
+/// Who accuses must have seen the node fail within this time, and who answers an accusation must have been answered by it: what it
+/// did before says nothing, and would be told as if it were new.
 const FRESH: Micros = 2_000_000;
 /// Failures in a row after which what a node answered before them says nothing more of it.
 const FAILURES_IN_A_ROW: u32 = 2;
@@ -359,7 +360,9 @@
                 let has_grown = seen.failures() >= told.failures() + 0.9;
                 if told.fails() && !has_grown {
                     stale && node.has_failed_since_told()
-                } else if rules.on(Guard::Blame) && node.is_uncertain(&reach) {
+                } else if node.failed + FRESH < now
+                    || (rules.on(Guard::Blame) && node.is_uncertain(&reach))
+                {
                     false
                 } else {
                     told.fails() || others(&id).accusers < ENOUGH.0
--- a/gossip/src/observations/tests.rs
+++ b/gossip/src/observations/tests.rs
@@ -168,3 +168,19 @@
     observations.ended(4 * S, 0, false, &"x".into(), AttemptEnd::TimedOut, S);
     assert!(tell(&mut observations, &rules, 4 * S, false).is_empty());
 }
+
+#[test]
+fn an_old_failure_is_not_told_as_if_it_were_new() {
+    // Failure: routers that kept silent, since enough others accused a busy node, all told of failures from seconds before once
+    // those accusations had grown old, and the node went out.
+    let (mut observations, rules) = observations(&["x"]);
+    let enough = |_: &NodeId| PeerEvidence {
+        accusers: ENOUGH.0,
+        ..PeerEvidence::default()
+    };
+    observations.ended(S, 0, false, &"x".into(), AttemptEnd::TimedOut, S);
+    assert!(observations.news(S, &rules, enough).is_empty());
+    assert!(tell(&mut observations, &rules, 4 * S, false).is_empty());
+    observations.ended(5 * S, 0, false, &"x".into(), AttemptEnd::TimedOut, S);
+    assert_eq!(tell(&mut observations, &rules, 5 * S, false).len(), 1);
+}
