--- a/fanout/tests/random.rs
+++ b/fanout/tests/random.rs
@@ -178,3 +178,19 @@
         prop_assert!(gateway.counts().subscriptions < 1_000);
     }
 }
+
+#[test]
+fn who_dies_after_its_zone_changed_owners_is_in_no_list_after_a_lease() {
+    // Failure: a subscriber of a zone whose gateway was replaced just before it died stays in all lists.
+    let acts = vec![
+        (Act::Die(0), 0),
+        (Act::Unsubscribe(2, 0), 0),
+        (Act::Stop(0), 0),
+        (Act::Move(2, 0), 0),
+        (Act::TakeOver(2), 0),
+        (Act::Subscribe(2, 0), 0),
+        (Act::Subscribe(0, 0), 188_088),
+        (Act::Die(2), 82_514),
+    ];
+    play(acts, 51).unwrap_or_else(|broken| panic!("{broken}"));
+}
