Discovery: the first call after a move does not wait for news

Cause: with the same address the version is kept, and the first call asked for news with a whole wait; lost, it was made again only at the turn's end. With another address the first call asks for the whole list and does not wait. Change: the first call after a move does not wait, whatever it asks for. Tests of watches, signals, sequences and exchanges pass.

--- a/engine/src/watch_schedule.rs
+++ b/engine/src/watch_schedule.rs
@@ -84,6 +84,8 @@
     waits: Micros,
     /// The last answer was spoilt.
     spoilt: bool,
+    /// The next call is the first after a move.
+    is_first_after_move: bool,
     backoff: Backoff,
 }
 
@@ -101,6 +103,7 @@
             called: 0,
             waits: 0,
             spoilt: false,
+            is_first_after_move: false,
             backoff: Backoff::new(first, longest, seed),
         }
     }
@@ -122,7 +125,9 @@
         // News comes to all watches at one moment. Danger: their next calls would end together, too, over and over.
         let drawn = whole - self.backoff.below(whole / JITTER);
         // Connecting has had its part; what it took is no part of the draw, so that equal seeds give equal waits.
-        let wait = if news {
+        // What the service has at a move counts as told sooner than a whole wait lasts, and the call may be lost.
+        let is_first_after_move = std::mem::take(&mut self.is_first_after_move);
+        let wait = if news && !is_first_after_move {
             drawn.min(end.saturating_sub(now).saturating_sub(patience))
         } else {
             0
@@ -186,6 +191,7 @@
     /// when to make it: soon, and within the turn that has begun.
     pub fn moved(&mut self, now: Time) -> Time {
         (self.late, self.connecting, self.spoilt) = (0, false, false);
+        self.is_first_after_move = true;
         self.backoff.answered();
         // Danger: all routers are told in one instant, and would call a service that they share in it.
         now + self
--- a/engine/tests/watch_schedule.rs
+++ b/engine/tests/watch_schedule.rs
@@ -201,6 +201,31 @@
     assert!(calls.iter().all(|n| *n <= ROUTERS / 3), "{calls:?}");
 }
 
+#[test]
+fn a_call_for_news_that_is_lost_after_sighup_is_made_again_in_time() {
+    // Failure: with the same address in the new configuration the first call waited for news. Lost, it was made again after
+    // 5 s, and what the service has counts as told 4 s after the signal.
+    const MOVED: Micros = 4 * S;
+    for seed in 0..200 {
+        for grace in GRACES {
+            for lists in [Lists::Asked, Lists::Pushed { grace }] {
+                let mut schedule = WatchSchedule::new(lists, seed);
+                schedule.call(0, true);
+                let now = S;
+                let first = schedule.moved(now);
+                schedule.connect(first);
+                let (_, until) = schedule.call(first + 50 * MS, true);
+                let again = schedule.silent(until);
+                assert!(
+                    again + 500 * MS <= now + MOVED,
+                    "seed {seed}, {lists:?}: the second call comes {} us after the move",
+                    again - now
+                );
+            }
+        }
+    }
+}
+
 #[test]
 fn a_move_prolongs_no_turn_and_one_s_own_agent_is_called_at_once() {
     for seed in 0..200 {
