Rig: a dead node has to be out where two zones met it, by the statements that it counted

Trace: after its death s4 was met by n3, n4 and n5 alone, all of its zone, 14 times; no other router sent it anything. Cause: observers of one zone are never believed (the guard one-zone), so no verdict may fall there. The check took evidence for complete once two routers had met the node twice each, of whatever zones: wrong in this case, by the trace. Change: the stand-in records the statements that it did not serve; the check asks for the verdict where routers of two zones, if there are two, met the node twice each within the same 3 s. The bound is as it was.

--- a/emulator/src/trial.rs
+++ b/emulator/src/trial.rs
@@ -23,6 +23,15 @@
     pub slow: Duration,
 }
 
+/// A statement that came to a node and was not answered well.
+#[derive(Clone, Debug)]
+pub struct Unserved {
+    /// When it came.
+    pub at: Instant,
+    /// Its id.
+    pub id: String,
+}
+
 #[derive(Default)]
 struct Inside {
     conduct: Conduct,
@@ -36,8 +45,8 @@
     /// Since when nothing new may come, and how much came all the same.
     closed: Option<Instant>,
     after: u64,
-    /// When a statement came last that was not answered well.
-    failed: Option<Instant>,
+    /// Statements that came and were not answered well.
+    unserved: Vec<Unserved>,
 }
 
 /// One db node.
@@ -125,9 +134,9 @@
         lock(&self.inside).probes
     }
 
-    /// When a statement came last that it did not answer well.
-    pub fn failed(&self) -> Option<Instant> {
-        lock(&self.inside).failed
+    /// Statements that came and that it did not answer well.
+    pub fn unserved(&self) -> Vec<Unserved> {
+        lock(&self.inside).unserved.clone()
     }
 }
 
@@ -171,7 +180,8 @@
             held.statements += 1;
             held.after += u64::from(held.closed.is_some_and(|at| now > at));
             if conduct.silent || bad || !conduct.slow.is_zero() {
-                held.failed = Some(now);
+                let id = id.to_string();
+                held.unserved.push(Unserved { at: now, id });
             }
             if write && mine == "primary" && !bad {
                 *held.wrote.entry(id.into()).or_default() += 1;
--- a/experiments/src/faults/check.rs
+++ b/experiments/src/faults/check.rs
@@ -4,12 +4,14 @@
 use super::{Trial, What};
 use plovercove_emulator::Fate;
 use serde::Serialize;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// What a line of a log may be late for what it tells of, and a step of the schedule for its time (s).
 const SLACK: f64 = 1.0;
-/// Until the evidence against a node is complete: two routers must have met it twice each (s).
+/// Until the evidence against a node is complete: two routers, of two zones where there are two, must have met it twice each (s).
 const MEETS: f64 = 3.0;
+/// How often a router meets a node before it can tell of it.
+const MEETINGS: usize = 2;
 /// A router that is back, or was let go, has this long before what it does counts (s).
 const RECOVERS: f64 = 2.0;
 
@@ -521,6 +523,29 @@
         self.struck(life.router, at - RECOVERS, at)
     }
 
+    /// The zones with a router that met a node often enough, from when it was bad until the evidence has to be complete.
+    fn zones_that_met(&self, number: usize, from: f64) -> BTreeSet<usize> {
+        let asked = self.record.asked.iter();
+        let router_of: HashMap<&str, usize> = asked.map(|a| (a.id.as_str(), a.router)).collect();
+        let mut meetings: HashMap<usize, usize> = HashMap::new();
+        for met in self.record.unserved.get(number).into_iter().flatten() {
+            if let Some(router) = router_of.get(met.id.as_str())
+                && (from..=from + MEETS).contains(&met.at)
+            {
+                *meetings.entry(*router).or_default() += 1;
+            }
+        }
+        let zones = self.trial.routers();
+        let often = meetings.into_iter().filter(|(_, count)| *count >= MEETINGS);
+        often.map(|(router, _)| zones[router]).collect()
+    }
+
+    /// Whether a verdict on a node may fall: observers of one zone, where there are two, speak for their link.
+    fn may_be_judged(&self, number: usize, from: f64) -> bool {
+        let zones: BTreeSet<usize> = self.trial.routers().into_iter().collect();
+        zones.len() < 2 || self.zones_that_met(number, from).len() >= 2
+    }
+
     /// All that could hear of it have taken a bad node out by the bound.
     fn acts(&mut self) {
         let bound = self.rules().act_within() as f64 / 1e6 + MEETS;
@@ -538,6 +563,9 @@
             else {
                 continue;
             };
+            if !self.may_be_judged(number, from) {
+                continue;
+            }
             let mut late = Vec::new();
             for life in self
                 .record
--- a/experiments/src/faults/play.rs
+++ b/experiments/src/faults/play.rs
@@ -86,6 +86,15 @@
     pub fate: Fate,
 }
 
+/// A statement that came to a node.
+#[derive(Clone, Debug)]
+pub struct Met {
+    /// When (s).
+    pub at: f64,
+    /// Its id.
+    pub id: String,
+}
+
 /// Something that was done to a router or a node, from and until when (s).
 #[derive(Clone, Debug)]
 pub struct Done {
@@ -114,8 +123,8 @@
     pub wrote: HashMap<String, u32>,
     /// Statements that came to a node after it was to get none, by node.
     pub after_close: Vec<u64>,
-    /// When a node failed last (s).
-    pub failed: Vec<Option<f64>>,
+    /// Statements that came to a node and were not answered well, by node.
+    pub unserved: Vec<Vec<Met>>,
     /// What passed between routers.
     pub passed: Passed,
     /// How long it took until all had found each other (s).
@@ -1008,10 +1017,12 @@
             *rig.record.wrote.entry(id).or_default() += times;
         }
         rig.record.after_close.push(node.after_close());
-        let ago = node.failed().map(|at| at.elapsed().as_secs_f64());
-        rig.record
-            .failed
-            .push(ago.map(|ago| since(rig.zero, SystemTime::now()) - ago));
+        let now = since(rig.zero, SystemTime::now());
+        let met = node.unserved().into_iter().map(|statement| Met {
+            at: now - statement.at.elapsed().as_secs_f64(),
+            id: statement.id,
+        });
+        rig.record.unserved.push(met.collect());
     }
     rig.record.passed = rig.links.passed();
     let _ = rig.seed;
