--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -11,6 +11,7 @@
 mod settings;
 mod wire;
 
+mod budget;
 mod memory;
 mod second_copy;
 
@@ -25,6 +26,7 @@
     let played = Case::open(folder).and_then(|case| match name.as_str() {
         "second-copy" => second_copy::play(&case),
         "memory" => memory::play(&case),
+        "budget" => budget::play(&case),
         _ => Err(std::io::Error::other("no such case")),
     });
     std::process::exit(match played {
