--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -12,7 +12,9 @@
 mod wire;
 
 mod budget;
+mod gone;
 mod memory;
+mod restart;
 mod second_copy;
 
 use common::Case;
@@ -25,6 +27,8 @@
     };
     let played = Case::open(folder).and_then(|case| match name.as_str() {
         "second-copy" => second_copy::play(&case),
+        "gone" => gone::play(&case),
+        "restart" => restart::play(&case),
         "memory" => memory::play(&case),
         "budget" => budget::play(&case),
         _ => Err(std::io::Error::other("no such case")),
