Front: no client is closed because the byte budget is spent

What callers saw: while other clients stop in the middle of long statements and stay, a usual client's request over 16 KiB ends in a reset without an answer, on a new connection too.

Cause: a buffer of 4 KiB or more could not grow while the budget was spent, and the front closed the client that was being read, whoever had spent the budget. Clients that have stopped are not read and stayed.

Evidence (old code, log at debug): 2,401 closes with `peer=TooMuch`; the 556 first closes of requests came within 1.0 ms of sending (0.3 ms in the median), the shortest request 33,040 bytes. The time for a message (2 s) and evictions (idle clients only) cannot be the cause.

Change: once three quarters of the budget are used, the longest incomplete messages are dropped (front/memory_pressure.rs). The rest of such a message is read without being kept, a query is rejected with 53300 when its last byte has come, and the session goes on. The last quarter is left for complete requests and replies. With little room, clients are not read from behind a whole message or while an answer is unsent; closing them had bounded those before. This works because what holds the memory gives way, and no path closes a client for it.

--- a/router/src/front/accept.rs
+++ b/router/src/front/accept.rs
@@ -203,6 +203,7 @@
                 last_progress_at: now,
                 message_began_at: None,
                 message_timeout,
+                skipped_message: None,
                 linger: None,
                 has_requested: false,
                 first_request_deadline: now + first_request_timeout,
--- a/router/src/front/client.rs
+++ b/router/src/front/client.rs
@@ -1,6 +1,7 @@
 //! One client's connection: the phase of its session, its pending answers, and its deadlines.
 
 use super::eviction::{EvictionKind, EvictionRank};
+use super::memory_pressure::SkippedMessage;
 use crate::net::budget::{Budget, Buffer, Reservation};
 use crate::net::stream::Stream;
 use crate::statement_labels::{Statement, code};
@@ -17,7 +18,9 @@
 /// Maximum number of unanswered queries of one connection; further ones wait.
 const MAX_PIPELINED_QUERIES: usize = 16;
 /// Maximum number of unsent bytes to a client; above it, no further queries of the client are begun.
-pub(super) const MAX_UNSENT_BYTES: usize = 256 * 1024;
+const MAX_UNSENT_BYTES: usize = 256 * 1024;
+/// The same while the byte budget has little room: a client that does not read its answers is not read from.
+const MAX_UNSENT_BYTES_WITH_LITTLE_ROOM: usize = 1;
 /// Maximum number of bytes that are read ahead from one connection while no further queries may be begun: a few thousand
 /// queries of usual length. Reading ahead detects that the client has closed the connection, so that its waiting queries
 /// are not sent to nodes in vain. If a client sends more, its close is detected only once answers have made room.
@@ -113,6 +116,8 @@
     pub(super) message_began_at: Option<Time>,
     /// Time from the first byte of a message to its last.
     pub(super) message_timeout: Micros,
+    /// The incomplete message whose bytes are dropped.
+    pub(super) skipped_message: Option<SkippedMessage>,
     pub(super) linger: Option<Linger>,
     /// Whether a request of the client has been accepted. On a listener with default labels, it is true from the login on.
     pub(super) has_requested: bool,
@@ -129,13 +134,18 @@
 }
 
 impl Client {
-    /// Returns true if no answer is pending or unsent, and no received byte is unread.
+    /// Returns true if no answer is pending or unsent, and no message is incomplete or unread.
     pub(super) fn is_idle(&self) -> bool {
-        self.has_nothing_pending() && self.stream.unread().is_empty()
+        self.has_nothing_pending() && !self.has_partial_input()
+    }
+
+    /// Returns true if bytes have been received that are not processed yet.
+    pub(super) fn has_partial_input(&self) -> bool {
+        self.skipped_message.is_some() || !self.stream.unread().is_empty()
     }
 
     /// Returns true if no answer is pending or unsent.
-    fn has_nothing_pending(&self) -> bool {
+    pub(super) fn has_nothing_pending(&self) -> bool {
         self.pending.is_empty() && self.stream.unsent() == 0
     }
 
@@ -191,7 +201,11 @@
     }
 
     fn has_room(&self) -> bool {
-        self.pending.len() < MAX_PIPELINED_QUERIES && self.stream.unsent() < MAX_UNSENT_BYTES
+        let max_unsent = match self.stream.has_little_room() {
+            true => MAX_UNSENT_BYTES_WITH_LITTLE_ROOM,
+            false => MAX_UNSENT_BYTES,
+        };
+        self.pending.len() < MAX_PIPELINED_QUERIES && self.stream.unsent() < max_unsent
     }
 
     /// Returns true if the next message of the client may be processed.
@@ -205,7 +219,7 @@
             let is_short = self.stream.unread().len() < MAX_READ_AHEAD_BYTES;
             is_short && self.stream.may_read_ahead()
         };
-        self.is_lingering() || self.may_begin_message() || may_read_ahead()
+        self.is_lingering() || self.needs_input() || may_read_ahead()
     }
 
     /// Queues an answer of the router's own.
--- a/router/src/front/eviction.rs
+++ b/router/src/front/eviction.rs
@@ -271,6 +271,7 @@
             return true;
         }
         let peer = self.receive(context, key, now);
-        peer == PeerState::Open && self.stream.unread().len() > unread_before
+        let has_answer = !self.has_nothing_pending();
+        peer == PeerState::Open && (has_answer || self.stream.unread().len() > unread_before)
     }
 }
--- a/router/src/front/exchange.rs
+++ b/router/src/front/exchange.rs
@@ -1,7 +1,8 @@
 //! Reads a client's messages and writes its answers, in order and within bounds for one turn of the event loop.
 
 use super::Context;
-use super::client::{Client, MAX_READ_AHEAD_BYTES, MAX_UNSENT_BYTES, Phase};
+use super::client::{Client, MAX_READ_AHEAD_BYTES, Phase};
+use crate::net::budget::Budget;
 use crate::net::stream::PeerState;
 use plovercove::Time;
 use plovercove_engine::{Engine, Key};
@@ -30,7 +31,10 @@
     /// Reads the bytes that a client has sent, and detects whether it has closed the connection. If it has, its login messages
     /// are processed at once, because a client that sends a cancel request may close without waiting for the router.
     pub(super) fn receive(&mut self, context: &mut Context, key: Key, now: Time) -> PeerState {
-        let peer = self.fill();
+        let peer = match self.skipped_message {
+            Some(_) => self.skip_received(context),
+            None => self.fill(),
+        };
         if peer != PeerState::Open {
             let is_logging_in =
                 |client: &Client| client.startup.is_some() && client.phase != Phase::Closing;
@@ -54,8 +58,8 @@
                         break;
                     }
                 }
-                // Reading ahead is optional: the memory budget may have room for it later.
-                PeerState::OverBudget if !self.may_begin_message() => break,
+                // The bytes stay in the system's buffer until `relieve_memory` has made room, or drops this message.
+                PeerState::OverBudget => break,
                 peer => return peer,
             }
         }
@@ -83,13 +87,13 @@
                 messages_left -= 1;
                 continue;
             }
-            let unsent_before = self.stream.unsent();
+            let (unsent_before, had_room) = (self.stream.unsent(), self.may_begin_message());
             let is_all_sent = self.stream.flush()?;
             if self.stream.unsent() < unsent_before {
                 self.last_progress_at = now;
             }
             // If unsent answers had filled the buffer, there is room for more messages now.
-            let made_room = is_all_sent && unsent_before >= MAX_UNSENT_BYTES;
+            let made_room = is_all_sent && unsent_before > 0 && !had_room;
             if messages_left > 0 && made_room {
                 continue;
             }
@@ -150,31 +154,36 @@
         let query =
             (message_type == b'Q').then(|| message.body.strip_suffix(&[0]).map(<[u8]>::to_vec));
         self.stream.consume(length);
-        let budget = &context.budget;
-        match (message_type, query) {
-            (b'X', _) => self.phase = Phase::Closing,
-            (b'S', _) => {
-                self.phase = Phase::Ready;
-                self.queue_reply(budget, messages::put_ready);
-            }
-            (_, _) if self.phase == Phase::SkippingToSync => {}
-            (b'Q', Some(Some(text))) if text.contains(&0) => {
+        match query {
+            Some(_) if self.phase == Phase::SkippingToSync => {}
+            Some(Some(text)) if text.contains(&0) => {
                 let text = "the query has a zero byte in it";
-                self.reply_protocol_error(budget, code::PROTOCOL_VIOLATION, text);
+                self.reply_protocol_error(&context.budget, code::PROTOCOL_VIOLATION, text);
+            }
+            Some(Some(text)) => self.read_query(context, key, text, now, engine),
+            Some(None) => {
+                let text = "the query does not end";
+                self.reply_protocol_error(&context.budget, code::PROTOCOL_VIOLATION, text);
             }
-            (b'Q', Some(Some(text))) => self.read_query(context, key, text, now, engine),
-            (b'Q', _) => {
-                self.reply_protocol_error(
-                    budget,
-                    code::PROTOCOL_VIOLATION,
-                    "the query does not end",
-                );
+            None => self.handle_other_message(&context.budget, message_type),
+        }
+        true
+    }
+
+    /// Handles a message that is not a query. Its body does not matter.
+    pub(super) fn handle_other_message(&mut self, budget: &Budget, message_type: u8) {
+        match message_type {
+            b'X' => self.phase = Phase::Closing,
+            b'S' => {
+                self.phase = Phase::Ready;
+                self.queue_reply(budget, messages::put_ready);
             }
-            (b'F', _) => {
+            _ if self.phase == Phase::SkippingToSync => {}
+            b'F' => {
                 let text = "function calls are not supported";
                 self.reply_protocol_error(budget, code::FEATURE_NOT_SUPPORTED, text);
             }
-            (b'P' | b'B' | b'D' | b'E' | b'C' | b'H', _) => {
+            b'P' | b'B' | b'D' | b'E' | b'C' | b'H' => {
                 self.protocol_errors += 1;
                 self.queue_reply(budget, |out| {
                     messages::put_error(
@@ -188,14 +197,13 @@
                 self.phase = Phase::SkippingToSync;
             }
             // Copy data that arrives after an error is ignored, as servers do.
-            (b'd' | b'c' | b'f', _) => {}
+            b'd' | b'c' | b'f' => {}
             _ => self.end_session(
                 budget,
                 code::PROTOCOL_VIOLATION,
                 "a message of an unknown kind",
             ),
         }
-        true
     }
 
     fn read_v2_message(
--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -12,6 +12,7 @@
 //! | `answers` | passes final answers to clients |
 //! | `cancellation` | cancel requests, which arrive on a second connection |
 //! | `eviction` | which clients are closed when the slots for clients run out |
+//! | `memory_pressure` | which incomplete messages are dropped when the byte budget has little room |
 //! | `shutdown` | graceful shutdown and lingering closes |
 //! | `client` | one client's connection and its deadlines |
 //! | `request_ids` | generation of request ids, and detection of repeated ones |
@@ -24,6 +25,7 @@
 mod exchange;
 mod listener;
 mod login;
+mod memory_pressure;
 mod query;
 mod request_ids;
 mod shutdown;
@@ -175,9 +177,12 @@
 
     /// Processes messages and writes answers of all marked clients.
     pub fn pump(&mut self, now: Time, engine: &mut Engine) {
+        self.relieve_memory();
         for key in std::mem::take(&mut self.marked) {
             self.pump_client(key, now, engine);
         }
+        // Once more, because only now it is known which messages without a length are incomplete.
+        self.relieve_memory();
         self.evict_excess_idle(now, engine);
         // The check for new bytes before an eviction may have received a cancel request.
         self.process_cancel_requests(now, engine);
@@ -206,7 +211,7 @@
             return self.close(key, engine);
         }
         let has_partial_message =
-            client.may_begin_message() && !exchanged.has_more && !client.stream.unread().is_empty();
+            client.may_begin_message() && !exchanged.has_more && client.has_partial_input();
         let began_at = client.message_began_at.unwrap_or(now);
         client.message_began_at = has_partial_message.then_some(began_at);
         client.stream.set_read_interest(client.wants_input());
--- a/router/src/front/query.rs
+++ b/router/src/front/query.rs
@@ -2,6 +2,7 @@
 
 use super::Context;
 use super::client::{Client, ForwardedRequest, Pending};
+use super::memory_pressure::MEMORY_SPENT_TEXT;
 use crate::clock;
 use crate::statement_labels::{self, Labels, Statement};
 use plovercove::{Access, Class, Micros, RequestInfo, Time};
@@ -158,10 +159,9 @@
         let time_left = check_timeout(&labels, class_rules)?;
         let tenant = check_tenant(context, &labels)?;
         let Some(reservation) = context.budget.reserve(text.len()) else {
-            let text = "too many statements are waiting";
             return Err(QueryError::ByRouter(SqlError::new(
                 code::TOO_MANY_CONNECTIONS,
-                text,
+                MEMORY_SPENT_TEXT,
             )));
         };
         if !context.recent_ids.insert_if_new(labels.id, now) {
--- a/router/src/net/budget.rs
+++ b/router/src/net/budget.rs
@@ -7,7 +7,7 @@
 
 /// A buffer below this size may grow although the budget is spent. Otherwise one connection that uses up the memory would
 /// block all others.
-const MIN_BUFFER_BYTES: usize = 4 * 1024;
+pub const MIN_BUFFER_BYTES: usize = 4 * 1024;
 /// An empty buffer whose capacity exceeds this is deallocated.
 const MAX_RETAINED_BYTES: usize = 1024;
 
@@ -16,6 +16,12 @@
     reserved: Cell<usize>,
 }
 
+impl Account {
+    fn has_little_room(&self) -> bool {
+        self.reserved.get() > self.limit / 4 * 3
+    }
+}
+
 /// A budget of bytes. Clones share it.
 #[derive(Clone)]
 pub struct Budget(Rc<Account>);
@@ -41,6 +47,12 @@
         }))
     }
 
+    /// Returns whether less than a quarter of the budget is left. That quarter is for complete requests and for replies:
+    /// neither incomplete messages nor clients that do not read their answers may use it.
+    pub fn has_little_room(&self) -> bool {
+        self.0.has_little_room()
+    }
+
     /// Reserves bytes. Returns `None` if the budget is spent. The last reservation may exceed the limit.
     pub fn reserve(&self, bytes: usize) -> Option<Reservation> {
         (self.0.reserved.get() < self.0.limit).then(|| {
@@ -92,8 +104,13 @@
 
     /// Returns whether the buffer must not grow: it has reached `MIN_BUFFER_BYTES` and the budget is spent.
     pub fn is_over_budget(&self) -> bool {
-        self.bytes.len() >= MIN_BUFFER_BYTES
-            && self.reservation.account.reserved.get() >= self.reservation.account.limit
+        let account = &self.reservation.account;
+        self.bytes.len() >= MIN_BUFFER_BYTES && account.reserved.get() >= account.limit
+    }
+
+    /// Returns whether less than a quarter of the budget is left.
+    pub fn has_little_room(&self) -> bool {
+        self.reservation.account.has_little_room()
     }
 
     /// Returns whether at most half of the budget is spent. Only then may data be read ahead; otherwise data that is not
--- a/router/src/net/stream.rs
+++ b/router/src/net/stream.rs
@@ -8,7 +8,7 @@
 const CHUNK_BYTES: usize = 16 * 1024;
 /// Maximum number of chunks read in one call, so that a peer that sends at full speed does not keep the loop from the
 /// other connections.
-const MAX_CHUNKS_PER_CALL: usize = 4;
+pub const MAX_CHUNKS_PER_CALL: usize = 4;
 
 /// The system counts the end of a stream as one unsent byte.
 const END_OF_STREAM_BYTES: usize = 1;
@@ -98,8 +98,13 @@
     /// Drops the input buffer, reads received bytes without keeping them, and returns their number.
     pub fn discard(&mut self) -> Result<usize, PeerState> {
         self.consume(self.unread().len());
+        self.skip(CHUNK_BYTES)
+    }
+
+    /// Reads up to `max_bytes` received bytes without keeping them, and returns their number. The input buffer must be empty.
+    pub fn skip(&mut self, max_bytes: usize) -> Result<usize, PeerState> {
         let mut chunk = [0; CHUNK_BYTES];
-        match self.receive(&mut chunk) {
+        match self.receive(&mut chunk[..max_bytes.min(CHUNK_BYTES)]) {
             Ok(count) => Ok(count),
             Err(PeerState::Open) => Ok(0),
             Err(peer) => Err(peer),
@@ -130,6 +135,11 @@
         self.input.has_ample_room()
     }
 
+    /// Returns whether less than a quarter of the byte budget is left.
+    pub fn has_little_room(&self) -> bool {
+        self.input.has_little_room()
+    }
+
     /// Returns the received bytes that have not been consumed.
     pub fn unread(&self) -> &[u8] {
         &self.input[self.consumed..]
--- a/router/tests/front_harness/mod.rs
+++ b/router/tests/front_harness/mod.rs
@@ -10,7 +10,7 @@
 use plovercove_engine::{AttemptId, Command, Deadline, Engine, Key};
 use plovercove_poller::{Events, Poll};
 use plovercove_router::front::Front;
-use plovercove_router::net::budget::Budget;
+use plovercove_router::net::budget::{Budget, Reservation};
 use plovercove_router::net::{EventSource, split_poll_key};
 use plovercove_settings::Names;
 use socket2::{Domain, Socket, Type};
@@ -42,6 +42,11 @@
 impl Harness {
     /// Creates a front with this number of slots for clients.
     pub fn new(slots: usize) -> Self {
+        Self::with_budget(slots, BUDGET_BYTES)
+    }
+
+    /// Creates a front with this number of slots for clients, and this memory budget.
+    pub fn with_budget(slots: usize, budget_bytes: usize) -> Self {
         let class = Class {
             name: "look".into(),
             access: Access::Any,
@@ -60,7 +65,7 @@
             cancel_allowed: true,
             ..Settings::default()
         };
-        let (poll, budget) = (Poll::new().expect("a poller"), Budget::new(BUDGET_BYTES));
+        let (poll, budget) = (Poll::new().expect("a poller"), Budget::new(budget_bytes));
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("bound");
         let front = Front::new(
@@ -91,6 +96,11 @@
         }
     }
 
+    /// Reserves bytes of the memory budget until the returned value is dropped, as a statement in flight does.
+    pub fn reserve_memory(&self, bytes: usize) -> Reservation {
+        self.budget.reserve(bytes).expect("the budget is not spent")
+    }
+
     /// Polls the sockets. Returns the clients with events, each with whether it hung up, and whether connections wait at the
     /// listener.
     fn events(&self) -> (Vec<(Key, bool)>, bool) {
--- a/router/tests/standing_floods.rs
+++ b/router/tests/standing_floods.rs
@@ -10,6 +10,7 @@
 use standing_fleet::{Start, TEST_TIMEOUT, ask, group, listing, statement};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 
 const STARTUP: &[u8] = b"\0\0\0\x11\0\x03\0\0user\0me\0\0";
 /// Memory limit of the router in these tests.
@@ -191,6 +192,54 @@
     );
 }
 
+#[test]
+fn long_requests_are_served_beside_clients_that_stop_in_the_middle_of_long_messages() {
+    // While the unfinished messages held the whole byte budget, requests over 16 KiB were closed without an answer.
+    const STOPPING_CLIENTS: usize = 60;
+    const SHORTEST_PART_BYTES: usize = 24 * 1024;
+    const LONG_REQUEST_BYTES: usize = 96 * 1024;
+    const REQUESTS: usize = 100;
+    let (router, _nodes, _guard) = start_router("floods-stopped", 512);
+    let listen = router.listen();
+    let is_over = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        for n in 0..STOPPING_CLIENTS {
+            // Their messages end at 24 KiB to 3 MiB of 4 MiB, and they come again once they have been closed.
+            let mut part = [STARTUP, b"Q", &(MAX_MESSAGE_BYTES as u32).to_be_bytes()].concat();
+            part.resize(SHORTEST_PART_BYTES << (n % 8), b' ');
+            let is_over = &is_over;
+            scope.spawn(move || {
+                while !is_over.load(Ordering::Relaxed) {
+                    let mut stream = connect(listen);
+                    // The router may close the connection at any time.
+                    let _ = stream.write_all(&part);
+                    let mut buffer = [0; 512];
+                    while stream.read(&mut buffer).is_ok_and(|count| count > 0) {}
+                }
+            });
+        }
+        let fates: Vec<RequestOutcome> = (0..REQUESTS)
+            .map(|number| {
+                let id = format!("l{number:06x}");
+                let text = format!(
+                    "{}{}",
+                    statement(&id, "look"),
+                    " ".repeat(LONG_REQUEST_BYTES)
+                );
+                RequestClient::new(listen).ask(&text, &id, TEST_TIMEOUT)
+            })
+            .collect();
+        is_over.store(true, Ordering::Relaxed);
+        let served = fates.iter().filter(|fate| **fate == RequestOutcome::Served);
+        assert_eq!(served.count(), REQUESTS, "{fates:?}: {:?}", router.lines());
+    });
+    assert!(
+        peak_memory(&router) < MEMORY_BYTES,
+        "{} bytes",
+        peak_memory(&router)
+    );
+}
+
 #[test]
 fn many_silent_clients_stay_within_the_descriptor_limit() {
     // Evicted clients linger, and clients beyond the limit wait for their error; both keep a descriptor meanwhile.
