Front: a dropped message ends with its session; messages behind full queues can be dropped

A client that is closed in the middle of a dropped message kept it: its last byte would have queued a rejection on a connection whose sending side was shut down. An incomplete message behind 16 unanswered queries or an unread answer was not dropped and could hold memory until the client was closed for it. Both follow from conditions that were about beginning a message, not about holding one.

The check whether the budget is spent stands once (`Account::is_spent`); a unit test holds the last quarter.

--- a/router/src/front/client.rs
+++ b/router/src/front/client.rs
@@ -262,6 +262,7 @@
     /// client's bytes are read and dropped until `timeout` has passed.
     pub(super) fn begin_linger(&mut self, now: Time, timeout: Micros) {
         self.phase = Phase::Closing;
+        self.skipped_message = None;
         self.linger = Some(Linger {
             check_at: now + timeout,
             give_up_at: now + timeout.max(UNREAD_ANSWER_TIMEOUT),
--- a/router/src/front/memory_pressure.rs
+++ b/router/src/front/memory_pressure.rs
@@ -72,7 +72,7 @@
     /// Returns whether the first unread message is incomplete, and longer than what each client may buffer anyway.
     fn has_droppable_message(&self) -> bool {
         let unread = self.stream.unread();
-        if unread.len() < MIN_BUFFER_BYTES || !self.may_begin_message() {
+        if unread.len() < MIN_BUFFER_BYTES || self.phase == Phase::Closing {
             return false;
         }
         if self.has_message_lengths() {
--- a/router/src/net/budget.rs
+++ b/router/src/net/budget.rs
@@ -17,6 +17,10 @@
 }
 
 impl Account {
+    fn is_spent(&self) -> bool {
+        self.reserved.get() >= self.limit
+    }
+
     fn has_little_room(&self) -> bool {
         self.reserved.get() > self.limit / 4 * 3
     }
@@ -55,7 +59,7 @@
 
     /// Reserves bytes. Returns `None` if the budget is spent. The last reservation may exceed the limit.
     pub fn reserve(&self, bytes: usize) -> Option<Reservation> {
-        (self.0.reserved.get() < self.0.limit).then(|| {
+        (!self.0.is_spent()).then(|| {
             let mut reservation = Reservation {
                 account: Rc::clone(&self.0),
                 bytes: 0,
@@ -104,8 +108,7 @@
 
     /// Returns whether the buffer must not grow: it has reached `MIN_BUFFER_BYTES` and the budget is spent.
     pub fn is_over_budget(&self) -> bool {
-        let account = &self.reservation.account;
-        self.bytes.len() >= MIN_BUFFER_BYTES && account.reserved.get() >= account.limit
+        self.bytes.len() >= MIN_BUFFER_BYTES && self.reservation.account.is_spent()
     }
 
     /// Returns whether less than a quarter of the budget is left.
--- a/router/src/net/budget/tests.rs
+++ b/router/src/net/budget/tests.rs
@@ -20,3 +20,14 @@
         "an empty buffer gives its bytes back"
     );
 }
+
+#[test]
+fn the_last_quarter_of_the_budget_is_little_room() {
+    let budget = Budget::new(8 * MIN_BUFFER_BYTES);
+    let _six = budget.reserve(6 * MIN_BUFFER_BYTES).expect("there is room");
+    assert!(!budget.has_little_room());
+    let one_more = budget.reserve(1).expect("there is room");
+    assert!(budget.has_little_room() && budget.buffer().has_little_room());
+    drop(one_more);
+    assert!(!budget.has_little_room());
+}
--- a/router/tests/standing_memory.rs
+++ b/router/tests/standing_memory.rs
@@ -15,8 +15,8 @@
 const LONG_REQUEST_BYTES: usize = 64 * 1024;
 /// Bytes that a client sends between two turns.
 const SENT_BEFORE_TURN_BYTES: usize = 16 * 1024;
-/// More than the time from the first byte of a message to its last (us).
-const LONGER_THAN_MESSAGE_TIMEOUT: u64 = 2_500_000;
+/// A bit more than the time from the first byte of a message to its last (us), within the linger time that follows.
+const JUST_AFTER_MESSAGE_TIMEOUT: u64 = 2_050_000;
 
 /// Returns a message of this type and length that consists of spaces.
 fn message(kind: u8, length: usize) -> Vec<u8> {
@@ -133,11 +133,16 @@
 fn a_client_whose_dropped_message_never_ends_is_closed_in_time() {
     let mut harness = Harness::with_budget(16, BUDGET_BYTES);
     let _in_flight = harness.reserve_memory(BUDGET_BYTES);
-    let (mut client, _) = client_with_incomplete_message(&mut harness, b'Q');
+    let (mut client, rest) = client_with_incomplete_message(&mut harness, b'Q');
     assert_eq!(client.poll_event(), None, "its message may still end");
-    harness.advance_by(LONGER_THAN_MESSAGE_TIMEOUT);
+    harness.advance_by(JUST_AFTER_MESSAGE_TIMEOUT);
     assert_eq!(harness.next_event(&mut client), rejected());
     assert_eq!(harness.next_event(&mut client), ClientEvent::Closed);
+    // The rest of the message, which crosses the close, resets nothing and gets no second answer.
+    send_in_parts(&mut harness, &mut client, &rest);
+    harness.run_turn();
+    assert_eq!(client.poll_event(), Some(ClientEvent::Closed));
+    assert!(!client.is_reset());
 }
 
 #[test]
