Tests: a copy of an answer with the router as a process, and a reply behind the confirmation

The case had no test with several processes: standing_nodes' a_second_copy_of_an_answer_reaches_no_other_client fails with the confirmation switched off (the router asks nothing and the copy is passed on). No test missed the guard that refuses a reply behind the answer to the empty query: copies' a_reply_behind_the_answer_to_the_empty_query_is_invalid does (Served("vv") with the guard off, Failed with it). The program is unchanged.

--- a/router/src/upstream/tests/copies.rs
+++ b/router/src/upstream/tests/copies.rs
@@ -175,3 +175,22 @@
     assert_eq!(pools.run_to_end(third), RequestOutcome::Failed);
     assert_closed(&mut link);
 }
+
+#[test]
+fn a_reply_behind_the_answer_to_the_empty_query_is_invalid() {
+    // The order on the connection is lost then, so neither reply can be said to belong to the request.
+    let node = start_node();
+    let mut pools = Pools::with_nodes(&[("p", &node)]);
+    let (mut link, second) = begin_second_request(&mut pools, &node, WRITE, "vv");
+    link.answer("vv").expect("the pools are there");
+    assert_eq!(
+        run_until_statement(&mut pools, &mut link).as_deref(),
+        Some("")
+    );
+    let confirmation_without_ready = &EMPTY_QUERY_ANSWER[..5];
+    link.send(confirmation_without_ready)
+        .expect("the pools are there");
+    link.answer("a2").expect("the pools are there");
+    assert_eq!(pools.run_to_end(second), RequestOutcome::Failed);
+    assert_closed(&mut link);
+}
--- a/router/tests/standing_nodes.rs
+++ b/router/tests/standing_nodes.rs
@@ -413,3 +413,39 @@
     link.answer("a2").expect("the router is there");
     assert_eq!(write.join().expect("a client"), RequestOutcome::Served);
 }
+
+/// Answers the router's own queries on a connection until this statement arrives. Returns the last answer on it.
+fn answer_until_statement(link: &mut manual_node::Link, id: &str, last_answer: String) -> String {
+    let mut last_answer = last_answer;
+    for number in 1.. {
+        let statement = link.statement().expect("a statement").expect("it is open");
+        if statement == id {
+            break;
+        }
+        last_answer = format!("x0={number},x1=1");
+        link.answer(&last_answer).expect("the router reads");
+    }
+    last_answer
+}
+
+#[test]
+fn a_second_copy_of_an_answer_reaches_no_other_client() {
+    // The next booking on the connection was told to be done with the value of the one before.
+    let scene = Scene::new("nodes-copy");
+    let (first, mut link) = scene.start_write("a1");
+    link.greet("primary").expect("the router reads");
+    answer_until_statement(&mut link, "a1", String::new());
+    link.answer("a1").expect("the router reads");
+    assert_eq!(first.join().expect("it asks"), RequestOutcome::Served);
+    let second = scene.start_client("b1");
+    let copied = answer_until_statement(&mut link, "b1", "a1".into());
+    link.answer(&copied).expect("the router reads");
+    let confirmation = link.statement().expect("a statement");
+    assert_eq!(
+        confirmation.as_deref(),
+        Some(""),
+        "it asks whether that was a copy"
+    );
+    link.answer("b1").expect("the router reads");
+    assert_eq!(second.join().expect("it asks"), RequestOutcome::Served);
+}
