Log the reason of every close and rejection of a client, and each request's id

The logs of the incident named neither connections nor requests, so it could not be told on which connection an unanswered request came, nor what was open at a stage of the shutdown.

CloseReason states why a session or a connection ends; accepted connections, accepted requests with the client's id, and queries that are rejected before they become requests are logged at debug. One line at info says what is left when the listeners close.

--- a/router/src/front/accept.rs
+++ b/router/src/front/accept.rs
@@ -17,7 +17,7 @@
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind};
 use std::net::{IpAddr, TcpListener, TcpStream};
-use tracing::warn;
+use tracing::{debug, warn};
 
 /// Maximum number of connections that wait to be accepted. Hundreds may arrive at once.
 pub(super) const LISTEN_BACKLOG: i32 = 1_024;
@@ -217,6 +217,12 @@
             Ok(key) => key,
             Err(e) => return warn!("cannot set up the connection of a client: {e}"),
         };
+        debug!(
+            client = key.number(),
+            from = %address,
+            has_free_slot,
+            "connection of a client accepted"
+        );
         self.context.listeners[number].slots_in_use += 1;
         self.reschedule(key, engine);
         if !has_free_slot {
--- a/router/src/front/cancellation.rs
+++ b/router/src/front/cancellation.rs
@@ -1,6 +1,7 @@
 //! Cancel requests, which arrive on a second connection and contain the cancel key of the first one.
 
 use super::client::{Client, Phase};
+use super::close_reason::CloseReason;
 use super::{Context, Front};
 use crate::net::stream::PeerState;
 use crate::statement_labels::code;
@@ -36,10 +37,11 @@
         // client's bytes are read first; otherwise the query would run although it was cancelled.
         if client.pending.is_empty() {
             let peer = client.receive(&mut self.context, key, now);
-            let is_connected = peer == PeerState::Open
-                && client.exchange(&mut self.context, key, now, engine).is_ok();
-            if !is_connected {
-                return self.close(key, engine);
+            if peer != PeerState::Open {
+                return self.close(key, CloseReason::Peer(peer), engine);
+            }
+            if let Err(peer) = client.exchange(&mut self.context, key, now, engine) {
+                return self.close(key, CloseReason::Peer(peer), engine);
             }
         }
         self.mark(key);
--- a/router/src/front/client.rs
+++ b/router/src/front/client.rs
@@ -1,5 +1,6 @@
 //! One client's connection: the phase of its session, its pending answers, and its deadlines.
 
+use super::close_reason::CloseReason;
 use super::eviction::{EvictionKind, EvictionRank};
 use super::memory_pressure::SkippedMessage;
 use crate::net::budget::{Budget, Buffer, Reservation};
@@ -14,6 +15,7 @@
 use std::collections::VecDeque;
 use std::net::IpAddr;
 use std::rc::Rc;
+use tracing::debug;
 
 /// Maximum number of unanswered queries of one connection; further ones wait.
 const MAX_PIPELINED_QUERIES: usize = 16;
@@ -260,7 +262,18 @@
 
     /// Starts a lingering close: no further message is processed, the router's side of the connection is closed, and the
     /// client's bytes are read and dropped until `timeout` has passed.
-    pub(super) fn begin_linger(&mut self, now: Time, timeout: Micros) {
+    pub(super) fn begin_linger(
+        &mut self,
+        key: Key,
+        reason: CloseReason,
+        now: Time,
+        timeout: Micros,
+    ) {
+        debug!(
+            client = key.number(),
+            reason = reason.label(),
+            "session of a client ended"
+        );
         self.phase = Phase::Closing;
         self.skipped_message = None;
         self.linger = Some(Linger {
--- a/router/src/front/eviction.rs
+++ b/router/src/front/eviction.rs
@@ -5,10 +5,12 @@
 
 use super::Front;
 use super::client::Client;
+use super::close_reason::CloseReason;
 use crate::net::stream::PeerState;
 use plovercove::{Micros, Time};
 use plovercove_engine::{Deadline, Engine, Key};
 use std::collections::BTreeSet;
+use tracing::debug;
 
 /// Idle clients may occupy one slot in this number of slots.
 const IDLE_SLOTS_DIVISOR: usize = 3;
@@ -172,7 +174,7 @@
                 client.send_close_notice();
             }
         }
-        self.close(first.client, engine);
+        self.close(first.client, CloseReason::DescriptorNeeded, engine);
     }
 
     /// Evicts the clients that have been idle longest, if there are too many idle ones.
@@ -185,7 +187,7 @@
         let idle = self.eviction_order.starting_at(EvictionKind::Idle);
         let oldest: Vec<Key> = idle.take(excess).map(|entry| entry.client).collect();
         for key in oldest {
-            self.evict(key, now, engine);
+            self.evict(key, CloseReason::SlotNeeded, now, engine);
         }
     }
 
@@ -197,7 +199,7 @@
             .map(|entry| entry.client)
             .collect();
         for key in candidates {
-            if self.evict(key, now, engine) {
+            if self.evict(key, CloseReason::SlotNeeded, now, engine) {
                 return;
             }
         }
@@ -206,7 +208,13 @@
     /// Evicts a client between requests, unless bytes have just arrived from it. Returns true if it was evicted. It loses its
     /// slot and lingers: if it were closed at once, bytes that cross the close would reset the connection and destroy an
     /// answer on its way.
-    pub(super) fn evict(&mut self, key: Key, now: Time, engine: &mut Engine) -> bool {
+    pub(super) fn evict(
+        &mut self,
+        key: Key,
+        reason: CloseReason,
+        now: Time,
+        engine: &mut Engine,
+    ) -> bool {
         if !self.prepare_eviction(key, now) {
             return false;
         }
@@ -214,10 +222,10 @@
             return false;
         };
         if client.is_lingering() || client.stream.unsent() > 0 {
-            self.close(key, engine);
+            self.close(key, reason, engine);
             return true;
         }
-        client.begin_linger(now, IDLE_LINGER_TIMEOUT);
+        client.begin_linger(key, reason, now, IDLE_LINGER_TIMEOUT);
         self.mark(key);
         self.reschedule(key, engine);
         true
@@ -238,7 +246,7 @@
     }
 
     /// Closes a client's connection. All other functions close connections through this one.
-    pub(super) fn close(&mut self, key: Key, engine: &mut Engine) {
+    pub(super) fn close(&mut self, key: Key, reason: CloseReason, engine: &mut Engine) {
         let Some(mut client) = self.clients.remove(key) else {
             return;
         };
@@ -248,6 +256,14 @@
             client.read_late_cancel(&mut self.context);
             let _ = client.stream.discard();
         }
+        let unanswered = client.pending.iter().filter(|p| p.request.is_some());
+        debug!(
+            client = key.number(),
+            reason = reason.label(),
+            unanswered = unanswered.count(),
+            unsent = client.stream.unsent(),
+            "connection of a client ended"
+        );
         let check = &mut client.next_check;
         engine.deadlines.set(check, Deadline::Client(key), None);
         self.move_in_eviction_order(key, client.listener, client.eviction_rank.take(), None);
--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -14,6 +14,7 @@
 //! | `eviction` | which clients are closed when the slots for clients run out |
 //! | `memory_pressure` | which incomplete messages are dropped when the byte budget has little room |
 //! | `shutdown` | graceful shutdown and lingering closes |
+//! | `close_reason` | why a connection is closed, for the log |
 //! | `client` | one client's connection and its deadlines |
 //! | `request_ids` | generation of request ids, and detection of repeated ones |
 
@@ -21,6 +22,7 @@
 mod answers;
 mod cancellation;
 mod client;
+mod close_reason;
 mod eviction;
 mod exchange;
 mod listener;
@@ -36,6 +38,7 @@
 use crate::net::stream::PeerState;
 use cancellation::CancelRequest;
 use client::{Client, Phase};
+use close_reason::CloseReason;
 use eviction::{EvictionOrder, IDLE_LINGER_TIMEOUT};
 use listener::Listener;
 use plovercove::{Micros, Time};
@@ -150,7 +153,7 @@
                 hung_up,
                 "client connection closed"
             );
-            return self.close(key, engine);
+            return self.close(key, CloseReason::Peer(peer), engine);
         }
         self.mark(key);
     }
@@ -166,12 +169,14 @@
         };
         if deadline > now || client.extend_linger(now) {
             self.reschedule(key, engine);
-        } else if client.is_lingering() || client.stream.unsent() > 0 {
-            self.close(key, engine);
+        } else if client.stream.unsent() > 0 {
+            self.close(key, CloseReason::UnreadAnswers, engine);
+        } else if client.is_lingering() {
+            self.close(key, CloseReason::LingerEnded, engine);
         } else if client.message_began_at.is_some() {
             self.end_partial_message(key, now, engine);
         } else {
-            self.evict(key, now, engine);
+            self.evict(key, CloseReason::IdleTimeout, now, engine);
         }
     }
 
@@ -194,8 +199,9 @@
             return;
         };
         client.is_marked = false;
-        let Ok(exchanged) = client.exchange(&mut self.context, key, now, engine) else {
-            return self.close(key, engine);
+        let exchanged = match client.exchange(&mut self.context, key, now, engine) {
+            Ok(exchanged) => exchanged,
+            Err(peer) => return self.close(key, CloseReason::Peer(peer), engine),
         };
         // Cancel requests are processed before their connections are closed. Otherwise a client could see the close and send
         // its next query, and that query would be cancelled.
@@ -206,9 +212,9 @@
         let is_done = exchanged.is_all_sent && client.pending.is_empty();
         if is_done
             && client.phase == Phase::Closing
-            && client.advance_linger(&mut self.context, now)
+            && client.advance_linger(&mut self.context, key, now)
         {
-            return self.close(key, engine);
+            return self.close(key, CloseReason::LingerEnded, engine);
         }
         let has_partial_message =
             client.may_begin_message() && !exchanged.has_more && client.has_partial_input();
@@ -223,7 +229,7 @@
         if exchanged.has_more {
             self.mark(key);
         } else if may_evict {
-            self.evict(key, now, engine);
+            self.evict(key, CloseReason::Shutdown, now, engine);
         }
     }
 
@@ -241,14 +247,20 @@
             return;
         };
         let peer = client.receive(&mut self.context, key, now);
-        let is_connected =
-            peer == PeerState::Open && client.exchange(&mut self.context, key, now, engine).is_ok();
-        if !is_connected {
-            return self.close(key, engine);
+        if peer != PeerState::Open {
+            return self.close(key, CloseReason::Peer(peer), engine);
+        }
+        if let Err(peer) = client.exchange(&mut self.context, key, now, engine) {
+            return self.close(key, CloseReason::Peer(peer), engine);
         }
         if client.message_began_at.is_some() {
             client.send_close_notice();
-            client.begin_linger(now, IDLE_LINGER_TIMEOUT);
+            client.begin_linger(
+                key,
+                CloseReason::IncompleteMessage,
+                now,
+                IDLE_LINGER_TIMEOUT,
+            );
         }
         self.mark(key);
         self.reschedule(key, engine);
--- a/router/src/front/query.rs
+++ b/router/src/front/query.rs
@@ -12,6 +12,7 @@
 use plovercove_pgwire::reply::Shape;
 use plovercove_pgwire::statement::{self, Kind};
 use std::rc::Rc;
+use tracing::debug;
 
 /// Maximum timeout that a client may set, as a multiple of the deadline of its class; a higher one is rejected.
 pub(super) const MAX_TIMEOUT_DEADLINES: u64 = 4;
@@ -128,9 +129,11 @@
                 });
             }
             Err(QueryError::ByClient(error)) => {
+                log_rejection(key, &error);
                 self.reply_protocol_error(&context.budget, error.code, &error.text);
             }
             Err(QueryError::ByRouter(error)) => {
+                log_rejection(key, &error);
                 self.reply_error(&context.budget, error.code, &error.text);
             }
         }
@@ -186,10 +189,17 @@
         } else {
             Shape::Any
         };
+        let request = engine.begin_request(key, info);
+        debug!(
+            client = key.number(),
+            request = request.number(),
+            id = labels.id,
+            "request accepted"
+        );
         Ok(ForwardedRequest {
             statement: Rc::new(Statement::new(text, &labels, shape)),
             is_write: access == Access::Write,
-            request: engine.begin_request(key, info),
+            request,
             _reservation: reservation,
         })
     }
@@ -213,6 +223,15 @@
     }
 }
 
+fn log_rejection(key: Key, error: &SqlError) {
+    debug!(
+        client = key.number(),
+        code = error.code,
+        reason = error.text,
+        "query rejected before it became a request"
+    );
+}
+
 /// Returns the timeout that the client has set, or an error if it is zero or too long.
 fn check_timeout(labels: &Labels<'_>, class: &Class) -> Result<Micros, QueryError> {
     let timeout = clock::from_ms(labels.timeout_ms);
--- a/router/src/front/shutdown.rs
+++ b/router/src/front/shutdown.rs
@@ -5,6 +5,7 @@
 use super::Front;
 use super::accept::{Backlog, LISTEN_BACKLOG, MAX_ACCEPTS_PER_TURN};
 use super::client::Client;
+use super::close_reason::CloseReason;
 use crate::net::stream::PeerState;
 use plovercove::{Micros, Time};
 use plovercove_engine::{Engine, Key};
@@ -70,7 +71,7 @@
             let draining_deadline = now + FIRST_REQUEST_TIMEOUT_DRAINING;
             client.first_request_deadline = client.first_request_deadline.min(draining_deadline);
         } else if client.is_idle() {
-            self.evict(key, now, engine);
+            self.evict(key, CloseReason::Shutdown, now, engine);
             return;
         }
         self.reschedule(key, engine);
@@ -80,9 +81,9 @@
 impl Client {
     /// Performs the lingering close of a client to which everything has been sent: closes the router's side, and reads and
     /// drops what the client sends. Returns true once the connection can be closed.
-    pub(super) fn advance_linger(&mut self, context: &mut Context, now: Time) -> bool {
+    pub(super) fn advance_linger(&mut self, context: &mut Context, key: Key, now: Time) -> bool {
         if !self.is_lingering() {
-            self.begin_linger(now, LINGER_TIMEOUT);
+            self.begin_linger(key, CloseReason::SessionEnded, now, LINGER_TIMEOUT);
         }
         if let Some(peer) = self.read_late_cancel(context) {
             return peer != PeerState::Open;
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -310,6 +310,11 @@
                     .iter_mut()
                     .for_each(|gossip| gossip.finish_leaving(now));
                 self.front.drain(now, &mut self.engine);
+                info!(
+                    clients = self.front.client_count(),
+                    held = self.engine.pending_requests(),
+                    "SIGTERM: the listeners are closed"
+                );
             }
         }
     }
