--- a/emulator/src/faulty_peers.rs
+++ b/emulator/src/faulty_peers.rs
@@ -290,9 +290,28 @@
     ran: Mutex<HashMap<String, usize>>,
 }
 
+/// The behavior of a node, which a test may change while the node runs.
+#[derive(Clone)]
+struct CurrentBehavior(Arc<Mutex<NodeBehavior>>);
+
+impl CurrentBehavior {
+    fn new(behavior: NodeBehavior) -> Self {
+        CurrentBehavior(Arc::new(Mutex::new(behavior)))
+    }
+
+    fn get(&self) -> NodeBehavior {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn set(&self, behavior: NodeBehavior) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = behavior;
+    }
+}
+
 /// A db node with a given behavior.
 pub struct Node {
     address: SocketAddr,
+    behavior: CurrentBehavior,
     counts: Arc<Counts>,
     /// Reserves the port of a node that refuses connections.
     _reserved_port: Option<socket2::Socket>,
@@ -305,6 +324,7 @@
     /// No port is available.
     pub fn start(behavior: NodeBehavior, primary: bool) -> io::Result<Self> {
         let counts = Arc::<Counts>::default();
+        let current = CurrentBehavior::new(behavior);
         if behavior == NodeBehavior::RefuseConnection {
             let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)?;
             socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())?;
@@ -314,6 +334,7 @@
                 .ok_or(io::ErrorKind::AddrNotAvailable)?;
             return Ok(Node {
                 address,
+                behavior: current,
                 counts,
                 _reserved_port: Some(socket),
             });
@@ -321,17 +342,18 @@
         let listener = TcpListener::bind(("127.0.0.1", 0))?;
         let node = Node {
             address: listener.local_addr()?,
+            behavior: current,
             counts,
             _reserved_port: None,
         };
-        let counts = node.counts.clone();
+        let (counts, behavior) = (node.counts.clone(), node.behavior.clone());
         std::thread::spawn(move || {
             while let Ok((connection, _)) = listener.accept() {
                 counts.connections.fetch_add(1, Ordering::Relaxed);
-                let counts = counts.clone();
+                let (counts, behavior) = (counts.clone(), behavior.clone());
                 std::thread::spawn(move || {
                     drop(Self::serve_connection(
-                        connection, behavior, primary, &counts,
+                        connection, &behavior, primary, &counts,
                     ))
                 });
             }
@@ -344,6 +366,12 @@
         self.address
     }
 
+    /// Changes the behavior for connections and statements that arrive from now on. A node that was started with
+    /// [`NodeBehavior::RefuseConnection`] never listens.
+    pub fn set_behavior(&self, behavior: NodeBehavior) {
+        self.behavior.set(behavior);
+    }
+
     /// Returns the number of accepted connections.
     pub fn connections(&self) -> usize {
         self.counts.connections.load(Ordering::Relaxed)
@@ -360,12 +388,12 @@
 
     fn serve_connection(
         mut stream: TcpStream,
-        behavior: NodeBehavior,
+        current: &CurrentBehavior,
         primary: bool,
         counts: &Counts,
     ) -> io::Result<()> {
         stream.set_nodelay(true)?;
-        match behavior {
+        match current.get() {
             NodeBehavior::CloseOnConnect => return stream.shutdown(Shutdown::Both),
             NodeBehavior::Silent => return stream.read_to_end(&mut Vec::new()).map(drop),
             _ => {}
@@ -377,6 +405,7 @@
                 return Ok(());
             };
             let statement = text.as_str();
+            let behavior = current.get();
             let mut out = Vec::new();
             if statement.is_empty() {
                 wire::put(&mut out, b'I', b"");
