Shutdown: all requests are answered before the earliest SIGKILL, whatever nodes do

Callers of a router that was being restarted got no answer: book-seat requests that came 0.78 and 0.80 s after SIGTERM ended with their connections at SIGKILL, 3.75 s after it, and the callers could not know whether the seat was booked.

Cause: the shutdown had no end of its own. It listens for 0.5 s, waits 0.3 s for a connection's first request, and waits for every request as long as its client does. The same mistake was in the times of first requests, incomplete messages and lingering closes: all counted from what a client did last, none from SIGTERM.

Now ShutdownSchedule derives all times from the earliest SIGKILL. Decisions and engine get the time of the last answer: deadlines of open and new requests are cut to it, no attempt is written after it, attempts tell nodes no more time than that. First requests, incomplete messages and accepting end with it, lingering closes 0.1 s before the kill. The margin of 0.35 s is twice the 0.15 s that a router may be held up, and a bit. Since every wait is bounded by a time that depends on SIGTERM and the settings alone, no node and no client can extend it; the schedule's order is tested for each deadline up to 8 s.

Tests of the front drain through the harness, with a schedule; no bound is changed.

--- a/engine/src/deadlines.rs
+++ b/engine/src/deadlines.rs
@@ -21,8 +21,8 @@
     Accept,
     /// A probe of another router, a gossip round, or a review of outlier verdicts.
     Gossip,
-    /// The next step of the shutdown.
-    Shutdown,
+    /// The shutdown closes the listeners, and the connections between requests.
+    Drain,
 }
 
 /// The ordered set of deadlines.
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -32,6 +32,8 @@
     /// Kept between batches only to reuse its allocation.
     actions: Vec<Action>,
     commands: Vec<Command>,
+    /// Time of the last final answer, once the router shuts down.
+    answer_by: Option<Time>,
     /// All deadlines of the router.
     pub deadlines: Deadlines,
 }
@@ -49,6 +51,7 @@
             events: Vec::new(),
             actions: Vec::new(),
             commands: Vec::new(),
+            answer_by: None,
             deadlines: Deadlines::default(),
         }
     }
@@ -115,6 +118,12 @@
         key
     }
 
+    /// Gives all requests, also those that still arrive, their final answers by this time.
+    pub fn begin_shutdown(&mut self, answer_by: Time) {
+        self.answer_by = Some(answer_by);
+        self.events.push(Event::ShutdownBegun { answer_by });
+    }
+
     /// Closes a request whose client has left; it gets no answer.
     pub fn client_gone(&mut self, request: Key) {
         let Some(found) = self.requests.get_mut(request).filter(|r| r.is_open) else {
@@ -225,17 +234,20 @@
             return false;
         };
         let attempt = request.attempts.get(id.number as usize);
-        attempt.is_some_and(|a| a.is_in_flight() && a.node == *node)
+        let is_shutdown_over = self.answer_by.is_some_and(|answer_by| answer_by <= now);
+        !is_shutdown_over
+            && attempt.is_some_and(|a| a.is_in_flight() && a.node == *node)
             && request.may_run(&self.classes[request.class], id.number, now)
             && self
                 .balancer
                 .is_send_still_valid(now, id.request.number(), node)
     }
 
-    /// Returns the time left until an attempt times out (us).
+    /// Returns the time for which the router still waits for an attempt (us).
     pub fn attempt_time_left(&self, id: AttemptId, now: Time) -> Micros {
-        let attempt = self.attempt(id);
-        attempt.map_or(0, |attempt| attempt.deadline.saturating_sub(now))
+        let deadline = self.attempt(id).map_or(0, |attempt| attempt.deadline);
+        let deadline = deadline.min(self.answer_by.unwrap_or(Time::MAX));
+        deadline.saturating_sub(now)
     }
 
     /// Handles the end of an attempt. Returns the client to pass the answer on to, if it is the final answer of the
--- a/engine/src/engine/tests.rs
+++ b/engine/src/engine/tests.rs
@@ -431,3 +431,53 @@
         (vec![second], 0)
     );
 }
+
+/// Time by which the requests of the shutdown tests are answered.
+const ANSWER_BY: Time = NOW + 2_000_000;
+
+#[test]
+fn a_request_that_no_node_answers_gets_its_answer_before_the_end_of_the_shutdown() {
+    let (mut engine, attempt) = engine_with_write();
+    engine.attempt_written(attempt);
+    engine.begin_shutdown(ANSWER_BY);
+    assert!(answers(&engine.decide(NOW + 1_000)).is_empty());
+    engine.wake();
+    assert_eq!(answers(&engine.decide(ANSWER_BY)), [FinalAnswer::Failed]);
+}
+
+#[test]
+fn a_request_that_arrives_during_the_shutdown_is_not_held_beyond_its_end() {
+    let (mut engine, first) = engine_with_write();
+    engine.attempt_ended(
+        NOW,
+        first,
+        AttemptEnd::Success,
+        NodeReport::default(),
+        NodeReport::default(),
+    );
+    engine.begin_shutdown(ANSWER_BY);
+    let info = RequestInfo {
+        group: 1,
+        time_left: 5_000_000,
+        ..RequestInfo::default()
+    };
+    engine.begin_request(Key::from_number(8), info.clone());
+    engine.decide(NOW + 1_000);
+    engine.wake();
+    assert_eq!(answers(&engine.decide(ANSWER_BY)).len(), 1);
+    engine.begin_request(Key::from_number(9), info);
+    let commands = engine.decide(ANSWER_BY);
+    assert_eq!(answers(&commands), [FinalAnswer::Rejected(None)]);
+    let is_send = |command: &Command| matches!(command, Command::Send { .. });
+    assert!(!commands.iter().any(is_send), "{commands:?}");
+}
+
+#[test]
+fn an_attempt_that_is_written_during_the_shutdown_states_only_the_time_until_its_end() {
+    let (mut engine, attempt) = engine_with_write();
+    assert!(engine.attempt_time_left(attempt, NOW) > 4_000_000);
+    engine.begin_shutdown(ANSWER_BY);
+    assert_eq!(engine.attempt_time_left(attempt, NOW), ANSWER_BY - NOW);
+    assert!(engine.may_still_send(attempt, ANSWER_BY - 1));
+    assert!(!engine.may_still_send(attempt, ANSWER_BY));
+}
--- a/router/src/front/accept.rs
+++ b/router/src/front/accept.rs
@@ -78,7 +78,7 @@
     /// Resumes accepting after a pause.
     pub fn resume_accepting(&mut self, now: Time, engine: &mut Engine) {
         self.set_listeners_interest(Interest::Read);
-        if self.is_draining {
+        if self.context.is_draining() {
             self.close_listeners(now, engine);
         } else {
             self.accept_from_all(now, engine);
@@ -171,12 +171,13 @@
         } else {
             Phase::Rejecting
         };
-        let first_request_timeout = if has_free_slot && !self.is_draining {
+        let is_draining = self.context.is_draining();
+        let first_request_timeout = if has_free_slot && !is_draining {
             FIRST_REQUEST_TIMEOUT
         } else {
             FIRST_REQUEST_TIMEOUT_DRAINING
         };
-        let message_timeout = if self.is_draining {
+        let message_timeout = if is_draining {
             MESSAGE_TIMEOUT_DRAINING
         } else {
             MESSAGE_TIMEOUT
--- a/router/src/front/client.rs
+++ b/router/src/front/client.rs
@@ -1,5 +1,6 @@
 //! One client's connection: the phase of its session, its pending answers, and its deadlines.
 
+use super::Context;
 use super::close_reason::CloseReason;
 use super::eviction::{EvictionKind, EvictionRank};
 use super::memory_pressure::SkippedMessage;
@@ -86,6 +87,11 @@
 }
 
 impl Linger {
+    /// Ends the lingering close by this time, unless the last answer is not delivered by then.
+    pub(super) fn end_by(&mut self, end: Time) {
+        self.check_at = self.check_at.min(end);
+    }
+
     fn eviction_kind(&self) -> EvictionKind {
         if self.is_delivering {
             EvictionKind::Delivering
@@ -155,11 +161,20 @@
         self.linger.is_some()
     }
 
+    /// Returns true if the shutdown may close the connection, because no request would be lost.
+    pub(super) fn may_close_for_shutdown(&self) -> bool {
+        self.has_requested && self.is_idle() && self.phase != Phase::Closing
+    }
+
     /// Returns the time at which the client is closed or checked, in its present state. It is `None` while requests are
     /// pending, since the engine has deadlines for those.
-    pub(super) fn deadline(&self) -> Option<Time> {
+    pub(super) fn deadline(&self, context: &Context) -> Option<Time> {
         if self.stream.unsent() > 0 {
-            return Some(self.last_progress_at + UNREAD_ANSWER_TIMEOUT);
+            let give_up_at = self.last_progress_at + UNREAD_ANSWER_TIMEOUT;
+            let shutdown_give_up_at = context
+                .shutdown
+                .map(|schedule| schedule.close_by + UNREAD_ANSWER_TIMEOUT);
+            return Some(give_up_at.min(shutdown_give_up_at.unwrap_or(Time::MAX)));
         }
         if !self.pending.is_empty() {
             return None;
@@ -167,13 +182,12 @@
         if let Some(linger) = self.linger {
             return Some(linger.check_at);
         }
-        if !self.has_requested {
-            return Some(self.first_request_deadline);
-        }
-        Some(match self.message_began_at {
+        let deadline = match self.message_began_at {
+            _ if !self.has_requested => self.first_request_deadline,
             Some(began_at) => began_at + self.message_timeout,
             None => self.last_progress_at + self.idle_timeout,
-        })
+        };
+        Some(context.before_last_answers(deadline))
     }
 
     /// Returns the rank in the eviction order, or `None` if the client must not be evicted.
@@ -261,14 +275,8 @@
     }
 
     /// Starts a lingering close: no further message is processed, the router's side of the connection is closed, and the
-    /// client's bytes are read and dropped until `timeout` has passed.
-    pub(super) fn begin_linger(
-        &mut self,
-        key: Key,
-        reason: CloseReason,
-        now: Time,
-        timeout: Micros,
-    ) {
+    /// client's bytes are read and dropped until `until`.
+    pub(super) fn begin_linger(&mut self, key: Key, reason: CloseReason, now: Time, until: Time) {
         debug!(
             client = key.number(),
             reason = reason.label(),
@@ -277,8 +285,8 @@
         self.phase = Phase::Closing;
         self.skipped_message = None;
         self.linger = Some(Linger {
-            check_at: now + timeout,
-            give_up_at: now + timeout.max(UNREAD_ANSWER_TIMEOUT),
+            check_at: until,
+            give_up_at: until.max(now + UNREAD_ANSWER_TIMEOUT),
             bytes_left: MAX_LINGER_BYTES,
             is_delivering: self.stream.is_delivering(),
         });
--- a/router/src/front/eviction.rs
+++ b/router/src/front/eviction.rs
@@ -120,7 +120,7 @@
             return;
         };
         // A check that is too early schedules the next one when it falls due. Only a check that is too late has to be moved.
-        let deadline = client.deadline();
+        let deadline = client.deadline(&self.context);
         let is_before_check =
             |deadline_at: Time| client.next_check.is_none_or(|check| deadline_at < check);
         if deadline.is_some_and(is_before_check) {
@@ -225,7 +225,8 @@
             self.close(key, reason, engine);
             return true;
         }
-        client.begin_linger(key, reason, now, IDLE_LINGER_TIMEOUT);
+        let until = self.context.linger_end(now, IDLE_LINGER_TIMEOUT);
+        client.begin_linger(key, reason, now, until);
         self.mark(key);
         self.reschedule(key, engine);
         true
--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -36,6 +36,7 @@
 
 use crate::net::budget::Budget;
 use crate::net::stream::PeerState;
+use crate::shutdown::ShutdownSchedule;
 use cancellation::CancelRequest;
 use client::{Client, Phase};
 use close_reason::CloseReason;
@@ -65,6 +66,27 @@
     secret: [u8; 32],
     /// Cancel requests that have been received and not processed yet.
     cancel_requests: Vec<CancelRequest>,
+    /// The schedule of the shutdown, once the listeners close.
+    shutdown: Option<ShutdownSchedule>,
+}
+
+impl Context {
+    fn is_draining(&self) -> bool {
+        self.shutdown.is_some()
+    }
+
+    /// Returns the time of an end, or the time by which the shutdown answers all requests if that is earlier.
+    fn before_last_answers(&self, end: Time) -> Time {
+        self.shutdown
+            .map_or(end, |schedule| end.min(schedule.answer_by))
+    }
+
+    /// Returns the end of a lingering close that begins now.
+    fn linger_end(&self, now: Time, timeout: Micros) -> Time {
+        let end = now + timeout;
+        self.shutdown
+            .map_or(end, |schedule| end.min(schedule.close_by))
+    }
 }
 
 /// All clients and listeners.
@@ -76,7 +98,6 @@
     /// Clients that are to be pumped.
     marked: Vec<Key>,
     eviction_order: EvictionOrder,
-    is_draining: bool,
     /// Time until which waiting connections are accepted during the shutdown.
     accept_until: Option<Time>,
 }
@@ -116,10 +137,10 @@
                 secret: random_bytes(),
                 id_generator: IdGenerator::new(u64::from_be_bytes(random_bytes())),
                 cancel_requests: Vec::new(),
+                shutdown: None,
             },
             marked: Vec::new(),
             eviction_order: EvictionOrder::default(),
-            is_draining: false,
             accept_until: None,
         };
         let platform = ListenerConfig::platform(max_clients, PLATFORM_IDLE_TIMEOUT);
@@ -164,7 +185,7 @@
             return;
         };
         client.next_check = None;
-        let Some(deadline) = client.deadline() else {
+        let Some(deadline) = client.deadline(&self.context) else {
             return;
         };
         if deadline > now || client.extend_linger(now) {
@@ -221,10 +242,7 @@
         let began_at = client.message_began_at.unwrap_or(now);
         client.message_began_at = has_partial_message.then_some(began_at);
         client.stream.set_read_interest(client.wants_input());
-        let may_evict = self.is_draining
-            && client.has_requested
-            && client.is_idle()
-            && client.phase != Phase::Closing;
+        let may_evict = self.context.is_draining() && client.may_close_for_shutdown();
         self.reschedule(key, engine);
         if exchanged.has_more {
             self.mark(key);
@@ -255,12 +273,8 @@
         }
         if client.message_began_at.is_some() {
             client.send_close_notice();
-            client.begin_linger(
-                key,
-                CloseReason::IncompleteMessage,
-                now,
-                IDLE_LINGER_TIMEOUT,
-            );
+            let until = self.context.linger_end(now, IDLE_LINGER_TIMEOUT);
+            client.begin_linger(key, CloseReason::IncompleteMessage, now, until);
         }
         self.mark(key);
         self.reschedule(key, engine);
--- a/router/src/front/shutdown.rs
+++ b/router/src/front/shutdown.rs
@@ -1,5 +1,5 @@
 //! Graceful shutdown: listeners close once all connections that wait at them have been accepted, idle clients are closed,
-//! and accepted requests are completed.
+//! and accepted requests are completed. The schedule bounds each of these steps.
 
 use super::Context;
 use super::Front;
@@ -7,6 +7,7 @@
 use super::client::Client;
 use super::close_reason::CloseReason;
 use crate::net::stream::PeerState;
+use crate::shutdown::ShutdownSchedule;
 use plovercove::{Micros, Time};
 use plovercove_engine::{Engine, Key};
 
@@ -23,20 +24,23 @@
 impl Front {
     /// Starts the shutdown: closes the listeners and all idle clients. The other clients are closed once their answers are
     /// sent, or their first request has not arrived in time.
-    pub fn drain(&mut self, now: Time, engine: &mut Engine) {
-        self.is_draining = true;
+    pub fn drain(&mut self, schedule: ShutdownSchedule, now: Time, engine: &mut Engine) {
+        self.context.shutdown.get_or_insert(schedule);
         self.close_listeners(now, engine);
-        let all: Vec<Key> = self.clients.iter().map(|(key, _)| key).collect();
-        for key in all {
+        for key in self.client_keys() {
             self.drain_client(key, now, engine);
         }
     }
 
+    fn client_keys(&self) -> Vec<Key> {
+        self.clients.iter().map(|(key, _)| key).collect()
+    }
+
     /// Returns true if the shutdown that [`Front::drain`] started is complete: no client is connected, and no listener is
     /// open.
     pub fn is_drained(&self) -> bool {
         let mut listeners = self.context.listeners.iter();
-        self.is_draining
+        self.context.is_draining()
             && self.clients.is_empty()
             && listeners.all(|listener| listener.socket.is_none())
     }
@@ -45,6 +49,7 @@
     /// still wait when a listener is closed.
     pub(super) fn close_listeners(&mut self, now: Time, engine: &mut Engine) {
         let give_up_at = now + FIRST_REQUEST_TIMEOUT_DRAINING;
+        let give_up_at = self.context.before_last_answers(give_up_at);
         let give_up_at = *self.accept_until.get_or_insert(give_up_at);
         let rounds = LISTEN_BACKLOG as u32 / MAX_ACCEPTS_PER_TURN;
         let backlog = (0..=rounds)
@@ -61,11 +66,14 @@
 
     /// Shortens the timeouts of a client for the shutdown, or evicts it if it is idle.
     fn drain_client(&mut self, key: Key, now: Time, engine: &mut Engine) {
-        // A lingering client is left alone: a second eviction would close it with unread bytes.
-        let client = self.clients.get_mut(key).filter(|c| !c.is_lingering());
-        let Some(client) = client else {
+        let Some(client) = self.clients.get_mut(key) else {
             return;
         };
+        // A lingering client is not evicted: a second eviction would close it with unread bytes.
+        if let Some(linger) = &mut client.linger {
+            linger.end_by(self.context.linger_end(now, LINGER_TIMEOUT));
+            return self.reschedule(key, engine);
+        }
         client.message_timeout = MESSAGE_TIMEOUT_DRAINING;
         if !client.has_requested {
             let draining_deadline = now + FIRST_REQUEST_TIMEOUT_DRAINING;
@@ -83,7 +91,8 @@
     /// drops what the client sends. Returns true once the connection can be closed.
     pub(super) fn advance_linger(&mut self, context: &mut Context, key: Key, now: Time) -> bool {
         if !self.is_lingering() {
-            self.begin_linger(key, CloseReason::SessionEnded, now, LINGER_TIMEOUT);
+            let until = context.linger_end(now, LINGER_TIMEOUT);
+            self.begin_linger(key, CloseReason::SessionEnded, now, until);
         }
         if let Some(peer) = self.read_late_cancel(context) {
             return peer != PeerState::Open;
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod net;
 pub mod operators;
 pub mod serve;
+pub mod shutdown;
 pub mod statement_labels;
 pub mod upstream;
 
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -14,8 +14,9 @@
 use crate::net::signals::{Registration, Signal, Signals};
 use crate::net::{EventSource, split_poll_key};
 use crate::operators;
+use crate::shutdown::ShutdownSchedule;
 use crate::upstream::Upstream;
-use plovercove::{EndpointUpdate, LocalityPolicy, Time};
+use plovercove::{EndpointUpdate, LocalityPolicy, Micros, Time};
 use plovercove_engine::{Command, Deadline, Engine, Key, ListSource, WatchSchedule};
 use plovercove_gossip::Observer;
 use plovercove_locality::ZoneFailover;
@@ -27,8 +28,6 @@
 use std::time::Duration;
 use tracing::{debug, info, warn};
 
-/// Time after SIGTERM during which new connections are still accepted (us).
-const ACCEPT_AFTER_SIGTERM_US: Time = 500_000;
 /// Maximum number of decision rounds in one turn. A round may cause another, if executing a decision has an immediate
 /// result.
 const MAX_DECISION_ROUNDS: u32 = 16;
@@ -79,8 +78,9 @@
     discovery: Discovery,
     operators_file: Option<operators::OperatorsFile>,
     gossip: Option<GossipSocket>,
-    /// SIGTERM has been received.
-    is_terminating: bool,
+    longest_deadline: Micros,
+    /// The schedule of the shutdown, once SIGTERM has been received.
+    shutdown: Option<ShutdownSchedule>,
 }
 
 impl Router {
@@ -172,7 +172,8 @@
             },
             operators_file,
             poll,
-            is_terminating: false,
+            longest_deadline,
+            shutdown: None,
         };
         for (address, listener_config) in listeners {
             let listener = bind_listener(address, "clients of a further front")?;
@@ -304,18 +305,7 @@
                 .iter_mut()
                 .for_each(|gossip| gossip.run_due(now, &mut self.engine)),
             Deadline::Accept => self.front.resume_accepting(now, &mut self.engine),
-            Deadline::Shutdown => {
-                // Clients do not wait until the handover of leases is complete.
-                self.gossip
-                    .iter_mut()
-                    .for_each(|gossip| gossip.finish_leaving(now));
-                self.front.drain(now, &mut self.engine);
-                info!(
-                    clients = self.front.client_count(),
-                    held = self.engine.pending_requests(),
-                    "SIGTERM: the listeners are closed"
-                );
-            }
+            Deadline::Drain => self.drain(now),
         }
     }
 
@@ -473,9 +463,11 @@
     }
 
     fn terminate(&mut self, now: Time) {
-        if std::mem::replace(&mut self.is_terminating, true) {
+        if self.shutdown.is_some() {
             return info!("SIGTERM: once more; the router is already shutting down");
         }
+        let schedule = ShutdownSchedule::new(now, self.longest_deadline);
+        self.shutdown = Some(schedule);
         info!(
             held = self.engine.pending_requests(),
             "SIGTERM: finishing pending requests"
@@ -483,8 +475,25 @@
         self.gossip
             .iter_mut()
             .for_each(|gossip| gossip.start_leaving(now, &mut self.engine));
-        self.engine
-            .deadlines
-            .add(now + ACCEPT_AFTER_SIGTERM_US, Deadline::Shutdown);
+        self.engine.begin_shutdown(schedule.answer_by);
+        let deadlines = &mut self.engine.deadlines;
+        deadlines.add(schedule.drain_at, Deadline::Drain);
+    }
+
+    /// Closes the listeners and the connections between requests.
+    fn drain(&mut self, now: Time) {
+        let Some(schedule) = self.shutdown else {
+            return;
+        };
+        // Clients do not wait until the handover of leases is complete.
+        self.gossip
+            .iter_mut()
+            .for_each(|gossip| gossip.finish_leaving(now));
+        self.front.drain(schedule, now, &mut self.engine);
+        info!(
+            clients = self.front.client_count(),
+            held = self.engine.pending_requests(),
+            "SIGTERM: the listeners are closed"
+        );
     }
 }
--- a/router/tests/front_harness/mod.rs
+++ b/router/tests/front_harness/mod.rs
@@ -4,14 +4,15 @@
 
 use crate::arrival;
 use plovercove::{
-    Access, AttemptEnd, Class, DedupScope, Endpoint, EndpointUpdate, Idempotency, NodeReport,
-    Settings, Time,
+    Access, AttemptEnd, Class, DedupScope, Endpoint, EndpointUpdate, Idempotency, Micros,
+    NodeReport, Settings, Time,
 };
 use plovercove_engine::{AttemptId, Command, Deadline, Engine, Key};
 use plovercove_poller::{Events, Poll};
 use plovercove_router::front::Front;
 use plovercove_router::net::budget::{Budget, Reservation};
 use plovercove_router::net::{EventSource, split_poll_key};
+use plovercove_router::shutdown::ShutdownSchedule;
 use plovercove_settings::Names;
 use socket2::{Domain, Socket, Type};
 use std::io::{ErrorKind, Read, Write};
@@ -22,6 +23,10 @@
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(40);
 /// Timeout of each request, in milliseconds.
 pub const REQUEST_TIMEOUT_MS: u64 = 900;
+/// Deadline of the only class.
+const LONGEST_DEADLINE: Micros = 1_000_000;
+/// Time from SIGTERM until the listeners close.
+const TIME_UNTIL_DRAIN: Micros = 500_000;
 /// Memory budget for clients.
 const BUDGET_BYTES: usize = 64 * 1024 * 1024;
 /// A startup packet of version 3.0.
@@ -52,7 +57,7 @@
             access: Access::Any,
             latency_objective: 400_000,
             objective_per_cost: 0.0,
-            deadline: 1_000_000,
+            deadline: LONGEST_DEADLINE,
             priority_weight: 1.0,
             late_weight_share: 0.0,
             idempotency: Idempotency::Idempotent,
@@ -74,7 +79,7 @@
             listener,
             slots,
             Names::new(&settings),
-            1_000_000,
+            LONGEST_DEADLINE,
         );
         let mut engine = Engine::new(settings, 1);
         let node = Endpoint {
@@ -143,12 +148,18 @@
                 Deadline::Attempt(id) => self.engine.attempt_timed_out(id, self.now),
                 Deadline::Client(key) => self.front.check_client(key, self.now, &mut self.engine),
                 Deadline::Accept => self.front.resume_accepting(self.now, &mut self.engine),
-                Deadline::Shutdown => self.front.drain(self.now, &mut self.engine),
+                Deadline::Drain => self.drain(),
                 Deadline::Backend(_) | Deadline::Discovery | Deadline::Gossip => {}
             }
         }
     }
 
+    /// Closes the listeners and the connections between requests, as the router does some time after SIGTERM.
+    pub fn drain(&mut self) {
+        let schedule = ShutdownSchedule::new(self.now - TIME_UNTIL_DRAIN, LONGEST_DEADLINE);
+        self.front.drain(schedule, self.now, &mut self.engine);
+    }
+
     /// Runs the last steps of a turn: pumps the clients and executes the commands of the engine.
     pub fn finish_turn(&mut self) {
         self.front.pump(self.now, &mut self.engine);
--- a/router/tests/standing_crossings.rs
+++ b/router/tests/standing_crossings.rs
@@ -21,11 +21,11 @@
     // the connections.
     let mut harness = Harness::new(8);
     let mut client = harness.idle_client("a1");
-    harness.front.drain(harness.now, &mut harness.engine);
+    harness.drain();
     assert_eq!(harness.next_event(&mut client), ClientEvent::Closed);
     harness.now += LINGER_US / 3;
     client.send(&query("a2"));
-    harness.front.drain(harness.now, &mut harness.engine);
+    harness.drain();
     assert_eq!(harness.front.client_count(), 1, "closed at once");
     harness.run_turn();
     assert!(!client.is_reset(), "closed over unread bytes");
@@ -39,7 +39,7 @@
     // would be lost.
     let mut harness = Harness::new(8);
     let mut client = harness.idle_client("a1");
-    harness.front.drain(harness.now, &mut harness.engine);
+    harness.drain();
     assert_eq!(harness.next_event(&mut client), ClientEvent::Closed);
     client.send(&query("a2"));
     harness.now += LINGER_US;
@@ -146,7 +146,7 @@
     let mut client = harness.idle_client("a1");
     client.send(&query("a2"));
     client.shut_down_write();
-    harness.front.drain(harness.now, &mut harness.engine);
+    harness.drain();
     harness.finish_turn();
     assert!(
         harness.begun_attempts.is_empty(),
@@ -356,7 +356,7 @@
         for (n, client) in crowd.iter_mut().enumerate() {
             client.send(&[startup_packet(), &query(&format!("a{n:x}"))].concat());
         }
-        harness.front.drain(harness.now, &mut harness.engine);
+        harness.drain();
         harness.finish_turn();
         let mut answered = 0;
         for (n, client) in crowd.iter_mut().enumerate() {
@@ -389,7 +389,7 @@
     let mut late: Vec<Client> = (0..4).map(|_| Client::connect(harness.address)).collect();
     late.iter_mut()
         .for_each(|client| client.send(startup_packet()));
-    harness.front.drain(harness.now, &mut harness.engine);
+    harness.drain();
     harness.finish_turn();
     for client in &mut late {
         let mut event = client.poll_event();
@@ -413,7 +413,7 @@
     let request = query("a2");
     client.send(&request[..9]);
     harness.run_turn();
-    harness.front.drain(harness.now, &mut harness.engine);
+    harness.drain();
     harness.now += LINGER_US;
     client.send(&request[9..]);
     harness.run_turn();
@@ -442,7 +442,7 @@
         let request = query("a2");
         client.send(&request[..9]);
         harness.run_turn();
-        harness.front.drain(harness.now, &mut harness.engine);
+        harness.drain();
         harness.advance_by(LINGER_US);
         client.send(&request[9..]);
         harness.run_turn();
@@ -476,7 +476,7 @@
     harness
         .engine
         .deadlines
-        .add(harness.now, plovercove_engine::Deadline::Shutdown);
+        .add(harness.now, plovercove_engine::Deadline::Drain);
     harness.run_turn();
     harness.answer_last_attempt();
     assert_eq!(
@@ -494,7 +494,7 @@
     let mut harness = Harness::new(8);
     let mut client = harness.idle_client("a1");
     client.send(&query("a2"));
-    harness.front.drain(harness.now, &mut harness.engine);
+    harness.drain();
     harness.finish_turn();
     assert_eq!(
         harness.begun_attempts.len(),
@@ -521,7 +521,7 @@
     all.truncate(all.len() - 9);
     client.send(&all);
     harness.run_turn();
-    harness.front.drain(harness.now, &mut harness.engine);
+    harness.drain();
     harness.finish_turn();
     for n in 0..39 {
         if harness.begun_attempts.is_empty() {
@@ -562,7 +562,7 @@
     // Without an attempt in flight, the connection must not be taken for an idle one.
     let mut harness = Harness::new(8);
     let mut client = client_in_backoff(&mut harness);
-    harness.front.drain(harness.now, &mut harness.engine);
+    harness.drain();
     harness.run_turn();
     while harness.begun_attempts.is_empty() {
         assert_eq!(client.poll_event(), None);
@@ -585,7 +585,7 @@
     let mut client = harness.idle_client("a1");
     harness.begin_request(&mut client, "a2");
     harness.reject_last_attempt();
-    harness.front.drain(harness.now, &mut harness.engine);
+    harness.drain();
     harness.run_turn();
     while harness.begun_attempts.is_empty() {
         assert_eq!(client.poll_event(), None);
--- a/router/tests/standing_slow_readers.rs
+++ b/router/tests/standing_slow_readers.rs
@@ -56,7 +56,7 @@
 fn an_unread_answer_survives_the_shutdown() {
     let mut harness = Harness::new(8);
     let mut client = client_with_unread_answer(&mut harness);
-    harness.front.drain(harness.now, &mut harness.engine);
+    harness.drain();
     harness.advance_by(LINGER_US + 1);
     assert_answer_arrives_complete(&mut harness, &mut client);
     harness.advance_by(LINGER_US);
@@ -83,7 +83,7 @@
 fn a_client_that_never_reads_its_answer_is_closed_in_time() {
     let mut harness = Harness::new(8);
     let _client = client_with_unread_answer(&mut harness);
-    harness.front.drain(harness.now, &mut harness.engine);
+    harness.drain();
     harness.advance_by(UNREAD_ANSWER_TIMEOUT_US - 1);
     assert!(!harness.front.is_drained(), "closed too early");
     harness.advance_by(LINGER_US);
@@ -94,7 +94,7 @@
 fn a_lingering_client_that_reads_its_answer_is_closed_soon() {
     let mut harness = Harness::new(8);
     let mut client = client_with_unread_answer(&mut harness);
-    harness.front.drain(harness.now, &mut harness.engine);
+    harness.drain();
     harness.advance_by(LINGER_US + 1);
     assert_eq!(harness.next_event(&mut client), ClientEvent::Ready);
     assert_eq!(harness.next_event(&mut client), ClientEvent::Closed);
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -11,7 +11,7 @@
 //! deadline has passed. The request is rejected if a retry by the client is harmless ([`retry::may_reject`]), and
 //! failed otherwise.
 
-use crate::api::{Access, Action, Micros, RequestId, RequestInfo};
+use crate::api::{Access, Action, Micros, RequestId, RequestInfo, Time};
 use crate::balancer::Balancer;
 use crate::latency::INITIAL_SHARE_OF_OBJECTIVE;
 use crate::node::Node;
@@ -38,10 +38,9 @@
     pub(crate) fn admit_request(&mut self, info: RequestInfo) {
         let class = &self.settings.classes[info.class];
         let id = info.id;
-        let deadline = self.now
-            + info
-                .time_left
-                .saturating_sub(ANSWER_MARGIN_TICKS * self.settings.tick);
+        let answer_margin = ANSWER_MARGIN_TICKS * self.settings.tick;
+        let client_deadline = self.now + info.time_left.saturating_sub(answer_margin);
+        let deadline = client_deadline.min(self.answer_by.unwrap_or(Time::MAX));
         let required_position = self.required_position(&info);
         // The latency objective counts from the client's first attempt. A request marked as a retry is recognised as
         // one if it has less time left than first attempts have.
--- a/src/api/event.rs
+++ b/src/api/event.rs
@@ -1,6 +1,6 @@
 //! The events that the router reports to the decisions, one batch for each turn of its event loop.
 
-use super::{AttemptEnd, EndpointUpdate, GroupId, Micros, NodeId, NodeReport, RequestId};
+use super::{AttemptEnd, EndpointUpdate, GroupId, Micros, NodeId, NodeReport, RequestId, Time};
 use std::sync::Arc;
 
 /// A request from a client.
@@ -60,6 +60,11 @@
         /// The request.
         request: RequestId,
     },
+    /// The router shuts down: all requests, also those that still arrive, have to get their final answers in time.
+    ShutdownBegun {
+        /// Time of the last final answer.
+        answer_by: Time,
+    },
     /// A timer expired.
     Timer,
     /// A health check ended.
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -40,6 +40,8 @@
     pub(crate) requests: BTreeMap<RequestId, Request>,
     /// Deadlines for the final answers of open requests.
     pub(crate) deadlines: BTreeSet<(Time, RequestId)>,
+    /// Time of the last final answer, once the router shuts down.
+    pub(crate) answer_by: Option<Time>,
     /// Requests that wait to be sent to a node.
     pub(crate) waiting: BTreeSet<RequestId>,
     /// Nodes that outlier detection checks: nodes that have attempts in flight or had one that just ended, and ejected
@@ -77,6 +79,7 @@
             groups: BTreeMap::new(),
             requests: BTreeMap::new(),
             deadlines: BTreeSet::new(),
+            answer_by: None,
             waiting: BTreeSet::new(),
             monitored: BTreeSet::new(),
             has_sparse_view: INITIAL_FLEET_LIMIT < f64::from(settings.router_count),
@@ -137,6 +140,7 @@
                 self.attempt_ended(ended, actions);
             }
             Event::ClientGone { request } => self.client_gone(request),
+            Event::ShutdownBegun { answer_by } => self.begin_shutdown(answer_by),
             Event::HealthChecked {
                 node,
                 answered: true,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 //! | `freshness` | which replica may serve which read |
 //! | `replica_selection` | the cost-weighted choice among replicas |
 //! | `admission` | whether an answer can come in time; load shedding; the final answer |
+//! | `shutdown` | the time by which a router that shuts down answers all requests |
 //! | `quota` | tenants' quotas |
 //! | `retry` | which further attempt is allowed, and what may be promised to the client |
 //! | `slow_start` | how many requests a warming node may get |
@@ -44,6 +45,7 @@
 mod replica_selection;
 mod request;
 mod retry;
+mod shutdown;
 mod slow_start;
 
 pub use api::*;
