Shutdown: a client that never stops sending keeps the router from ending no more

Callers beside such a client are answered; the router itself still runs at SIGKILL, so whatever the flooding client has under way is found unanswered.

Cause: the shutdown closes a connection at a moment when nothing of it is unread or unanswered, and a client that sends faster than 32 messages a turn gives it none. The end of lingering closes and of first requests does not apply to it either. Beyond that, up to 4 MiB were read ahead from it: MAX_READ_AHEAD_BYTES held only while further queries had to wait.

Now nothing is read from clients from 0.1 s after the last answers on; what was read completely is answered, then the connection closes as between two requests. The bound of 256 KiB also holds while the next message is whole. So the work that is left is finite and small.

a_flooding_client_does_not_keep_the_router_from_ending_before_the_kill failed before and passes; the front's tests of floods, crossings, memory, slow readers and exchanges pass unchanged.

--- a/engine/src/deadlines.rs
+++ b/engine/src/deadlines.rs
@@ -23,6 +23,8 @@
     Gossip,
     /// The shutdown closes the listeners, and the connections between requests.
     Drain,
+    /// The shutdown reads nothing more from clients.
+    StopReading,
 }
 
 /// The ordered set of deadlines.
--- a/router/src/front/accept.rs
+++ b/router/src/front/accept.rs
@@ -205,6 +205,7 @@
                 message_began_at: None,
                 message_timeout,
                 skipped_message: None,
+                is_input_closed: false,
                 linger: None,
                 has_requested: false,
                 first_request_deadline: now + first_request_timeout,
--- a/router/src/front/client.rs
+++ b/router/src/front/client.rs
@@ -24,8 +24,8 @@
 const MAX_UNSENT_BYTES: usize = 256 * 1024;
 /// The same while the byte budget has little room: a client that does not read its answers is not read from.
 const MAX_UNSENT_BYTES_WITH_LITTLE_ROOM: usize = 1;
-/// Maximum number of bytes that are read ahead from one connection while no further queries may be begun: a few thousand
-/// queries of usual length. Reading ahead detects that the client has closed the connection, so that its waiting queries
+/// Maximum number of bytes that are read ahead from one connection behind the next message: a few thousand queries of usual
+/// length. Reading ahead detects that the client has closed the connection, so that its waiting queries
 /// are not sent to nodes in vain. If a client sends more, its close is detected only once answers have made room.
 pub(super) const MAX_READ_AHEAD_BYTES: usize = 256 * 1024;
 /// Time for which answers may stay unread, in the router or in the system's socket buffer.
@@ -126,6 +126,8 @@
     pub(super) message_timeout: Micros,
     /// The incomplete message whose bytes are dropped.
     pub(super) skipped_message: Option<SkippedMessage>,
+    /// Whether nothing more is read from the client, because the router shuts down.
+    pub(super) is_input_closed: bool,
     pub(super) linger: Option<Linger>,
     /// Whether a request of the client has been accepted. On a listener with default labels, it is true from the login on.
     pub(super) has_requested: bool,
@@ -161,9 +163,12 @@
         self.linger.is_some()
     }
 
-    /// Returns true if the shutdown may close the connection, because no request would be lost.
+    /// Returns true if the shutdown may close the connection: it is between requests, or its input is closed and everything
+    /// that was read from it is answered.
     pub(super) fn may_close_for_shutdown(&self) -> bool {
-        self.has_requested && self.is_idle() && self.phase != Phase::Closing
+        let is_between_requests = self.has_requested && self.is_idle();
+        let is_finished = self.is_input_closed && self.has_nothing_pending();
+        self.phase != Phase::Closing && (is_between_requests || is_finished)
     }
 
     /// Returns the time at which the client is closed or checked, in its present state. It is `None` while requests are
@@ -235,7 +240,8 @@
             let is_short = self.stream.unread().len() < MAX_READ_AHEAD_BYTES;
             is_short && self.stream.may_read_ahead()
         };
-        self.is_lingering() || self.needs_input() || may_read_ahead()
+        let may_read = || !self.is_input_closed && (self.needs_input() || may_read_ahead());
+        self.is_lingering() || may_read()
     }
 
     /// Queues an answer of the router's own.
--- a/router/src/front/exchange.rs
+++ b/router/src/front/exchange.rs
@@ -32,6 +32,7 @@
     /// are processed at once, because a client that sends a cancel request may close without waiting for the router.
     pub(super) fn receive(&mut self, context: &mut Context, key: Key, now: Time) -> PeerState {
         let peer = match self.skipped_message {
+            Some(_) if self.is_input_closed => PeerState::Open,
             Some(_) => self.skip_received(context),
             None => self.fill(),
         };
--- a/router/src/front/memory_pressure.rs
+++ b/router/src/front/memory_pressure.rs
@@ -7,7 +7,7 @@
 
 use super::Context;
 use super::Front;
-use super::client::{Client, Phase};
+use super::client::{Client, MAX_READ_AHEAD_BYTES, Phase};
 use super::exchange::MAX_MESSAGE_BYTES;
 use crate::net::budget::MIN_BUFFER_BYTES;
 use crate::net::stream::{MAX_CHUNKS_PER_CALL, PeerState};
@@ -57,11 +57,13 @@
 }
 
 impl Client {
-    /// Returns whether bytes are to be read so that the next message can be processed. With little room in the budget, nothing
-    /// is read behind a message that is whole.
+    /// Returns whether bytes are to be read so that the next message can be processed. Behind a message that is whole, only
+    /// a bounded number of bytes is read, and none with little room in the budget.
     pub(super) fn needs_input(&self) -> bool {
         let has_work = || self.has_message_lengths() && self.has_whole_message();
-        self.may_begin_message() && !(self.stream.has_little_room() && has_work())
+        let has_read_ahead = self.stream.unread().len() >= MAX_READ_AHEAD_BYTES;
+        let is_bounded = has_read_ahead || self.stream.has_little_room();
+        self.may_begin_message() && !(is_bounded && has_work())
     }
 
     /// Returns whether the first unread message is complete, or malformed.
--- a/router/src/front/shutdown.rs
+++ b/router/src/front/shutdown.rs
@@ -10,6 +10,7 @@
 use crate::shutdown::ShutdownSchedule;
 use plovercove::{Micros, Time};
 use plovercove_engine::{Engine, Key};
+use tracing::debug;
 
 /// Time from accepting a connection until its first request, during the shutdown or if no slot is free. It is long enough
 /// that a connection accepted just before its listener closes is not closed while its request is on the way. It is short
@@ -32,6 +33,27 @@
         }
     }
 
+    /// Reads nothing more from clients. Messages that were read completely are still answered, and each connection closes
+    /// once its answers are sent.
+    pub fn stop_reading(&mut self, now: Time, engine: &mut Engine) {
+        for key in self.client_keys() {
+            let client = self.clients.get_mut(key).filter(|c| !c.is_lingering());
+            let Some(client) = client else {
+                continue;
+            };
+            debug!(
+                client = key.number(),
+                pending = client.pending.len(),
+                unread = client.stream.unread().len(),
+                unsent = client.stream.unsent(),
+                "nothing more is read from a client"
+            );
+            client.is_input_closed = true;
+            self.mark(key);
+        }
+        self.pump(now, engine);
+    }
+
     fn client_keys(&self) -> Vec<Key> {
         self.clients.iter().map(|(key, _)| key).collect()
     }
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -306,6 +306,7 @@
                 .for_each(|gossip| gossip.run_due(now, &mut self.engine)),
             Deadline::Accept => self.front.resume_accepting(now, &mut self.engine),
             Deadline::Drain => self.drain(now),
+            Deadline::StopReading => self.stop_reading(now),
         }
     }
 
@@ -478,6 +479,17 @@
         self.engine.begin_shutdown(schedule.answer_by);
         let deadlines = &mut self.engine.deadlines;
         deadlines.add(schedule.drain_at, Deadline::Drain);
+        deadlines.add(schedule.stop_reading_at, Deadline::StopReading);
+    }
+
+    /// Closes the connections whose clients never stop sending.
+    fn stop_reading(&mut self, now: Time) {
+        info!(
+            clients = self.front.client_count(),
+            held = self.engine.pending_requests(),
+            "SIGTERM: nothing more is read from clients"
+        );
+        self.front.stop_reading(now, &mut self.engine);
     }
 
     /// Closes the listeners and the connections between requests.
--- a/router/src/shutdown.rs
+++ b/router/src/shutdown.rs
@@ -18,6 +18,8 @@
 /// Time from the last answers until SIGKILL. The process may be held up for 0.15 s when SIGTERM arrives, and once more
 /// between reading its clock and writing the answers.
 const ANSWER_MARGIN: Micros = 350_000;
+/// Time from the last answers until nothing more is read, in which what crosses the answers is read and rejected.
+const LAST_REJECTIONS_TIME: Micros = 100_000;
 /// Time from the last close until SIGKILL.
 const CLOSE_MARGIN: Micros = 100_000;
 
@@ -28,6 +30,8 @@
     pub drain_at: Time,
     /// All requests have their final answers.
     pub answer_by: Time,
+    /// From now on, nothing more is read from clients.
+    pub stop_reading_at: Time,
     /// Lingering closes end.
     pub close_by: Time,
 }
@@ -42,6 +46,7 @@
         ShutdownSchedule {
             drain_at,
             answer_by,
+            stop_reading_at: answer_by + LAST_REJECTIONS_TIME,
             close_by: earliest_kill - CLOSE_MARGIN,
         }
     }
--- a/router/src/shutdown/tests.rs
+++ b/router/src/shutdown/tests.rs
@@ -19,6 +19,7 @@
             SIGTERM_AT + LAST_CONNECTION,
             schedule.drain_at,
             schedule.answer_by,
+            schedule.stop_reading_at,
             schedule.close_by,
             kill_at,
         ];
--- a/router/tests/front_harness/mod.rs
+++ b/router/tests/front_harness/mod.rs
@@ -149,6 +149,7 @@
                 Deadline::Client(key) => self.front.check_client(key, self.now, &mut self.engine),
                 Deadline::Accept => self.front.resume_accepting(self.now, &mut self.engine),
                 Deadline::Drain => self.drain(),
+                Deadline::StopReading => self.front.stop_reading(self.now, &mut self.engine),
                 Deadline::Backend(_) | Deadline::Discovery | Deadline::Gossip => {}
             }
         }
--- a/router/tests/shutdown.rs
+++ b/router/tests/shutdown.rs
@@ -110,6 +110,23 @@
     });
 }
 
+#[test]
+fn a_flooding_client_does_not_keep_the_router_from_ending_before_the_kill() {
+    for_each_deployment(|deadlines_ms| {
+        let case = format!("flooding-{deadlines_ms:?}");
+        let plan = Plan::with_hanging_nodes(&case, deadlines_ms);
+        let clients = vec![
+            client(ClientKind::Flooding, -300, -300, 0),
+            client(ClientKind::Flooding, 350, 350, 0),
+            client(ClientKind::Sequential, -300, -300, 1),
+            client(ClientKind::Sequential, 390, 700, 0),
+        ];
+        let outcome = play_clients(plan, clients);
+        assert_none_lost(&case, &outcome);
+        assert_ended_before_the_kill(&case, &outcome);
+    });
+}
+
 /// Returns the seeds to play.
 fn seeds() -> RangeInclusive<u64> {
     let Ok(text) = std::env::var("SHUTDOWN_SEEDS") else {
--- a/router/tests/shutdown_rig/client.rs
+++ b/router/tests/shutdown_rig/client.rs
@@ -2,13 +2,15 @@
 
 use super::plan::{self, ClientKind, ClientScript};
 use super::sleep_until;
-use std::io::{ErrorKind, Read, Write};
+use std::io::{BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, channel};
 use std::time::{Duration, Instant};
 
 /// Time after SIGKILL until which a client waits for the end of its connection.
 const TIME_AFTER_KILL: Duration = Duration::from_secs(2);
+const EMPTY_QUERY: &[u8] = b"Q\0\0\0\x05\0";
+const EMPTY_QUERIES_AT_ONCE: usize = 1_000;
 const STARTUP: &[u8] = b"\0\0\0\x11\0\x03\0\0user\0me\0\0";
 
 /// How a connection ended, as its client sees it.
@@ -60,7 +62,8 @@
     fn open(to: SocketAddr) -> Option<Self> {
         let stream = TcpStream::connect(to).ok()?;
         stream.set_nodelay(true).expect("no delay");
-        let mut reader = stream.try_clone().expect("a descriptor");
+        // Buffered, so that the client reads as fast as the router writes.
+        let mut reader = BufReader::new(stream.try_clone().expect("a descriptor"));
         let (sender, received) = channel();
         std::thread::spawn(move || {
             let end = read_answers(&mut reader, |answer| drop(sender.send(answer)));
@@ -108,7 +111,7 @@
 }
 
 /// Reads until the connection ends.
-fn read_answers(stream: &mut TcpStream, mut report: impl FnMut(Received)) -> ConnectionEnd {
+fn read_answers(stream: &mut impl Read, mut report: impl FnMut(Received)) -> ConnectionEnd {
     let mut is_logged_in = false;
     let mut label = None;
     loop {
@@ -146,7 +149,7 @@
     }
 }
 
-fn read_message(stream: &mut TcpStream) -> std::io::Result<(u8, Vec<u8>)> {
+fn read_message(stream: &mut impl Read) -> std::io::Result<(u8, Vec<u8>)> {
     let mut head = [0; 5];
     stream.read_exact(&mut head)?;
     let [kind, length @ ..] = head;
@@ -199,6 +202,12 @@
         true
     }
 
+    /// Sends many empty queries. Returns false if the connection has ended.
+    fn flood(&mut self) -> bool {
+        let queries = EMPTY_QUERY.repeat(EMPTY_QUERIES_AT_ONCE);
+        self.connection.write(&queries, 1, Duration::ZERO)
+    }
+
     fn wait_for_all_answers(&mut self, until: Instant) {
         let expected = self.sent.len();
         self.connection
@@ -266,9 +275,10 @@
             }
             ClientKind::Pieces => client.send(4),
             ClientKind::Mute => false,
+            ClientKind::Flooding => client.flood(),
             ClientKind::Sequential | ClientKind::SlowLogin => client.send(1),
         };
-        if script.kind != ClientKind::Pipelining {
+        if !matches!(script.kind, ClientKind::Pipelining | ClientKind::Flooding) {
             client.wait_for_all_answers(sigkill_at + TIME_AFTER_KILL);
             std::thread::sleep(script.interval);
         }
--- a/router/tests/shutdown_rig/plan.rs
+++ b/router/tests/shutdown_rig/plan.rs
@@ -61,6 +61,8 @@
     SlowLogin,
     /// It logs in and sends nothing.
     Mute,
+    /// It sends empty queries as fast as the router reads them, and reads the answers. Empty queries are no requests.
+    Flooding,
 }
 
 impl ClientKind {
@@ -71,6 +73,7 @@
             ClientKind::Pieces => "pieces",
             ClientKind::SlowLogin => "slow login",
             ClientKind::Mute => "mute",
+            ClientKind::Flooding => "flooding",
         }
     }
 }
