Upstream: statements of clients that have gone no longer exceed the memory limit

Callers lost what they had under way at a router that was killed for its memory: bad clients sent statements of 3.9 MB and went, and within a second a limit of 64 MB was exceeded.

Cause: the reservation belonged to the client's pending answer and ended with the client, while the attempt went on to hold the statement. The query message for the node was built twice and grew by doubling.

Evidence: a weak reference to the statement stayed alive while only its attempt was in flight; a new request was taken while the held statement and the rest spent the budget; 2,000,094 bytes were allocated for a message of 1,000,048.

Now the statement owns its reservation, a job drops its statement once it is queued on a connection, and the message is written in place. What is held is counted, and is held only while it may still be needed.

--- a/router/src/front/client.rs
+++ b/router/src/front/client.rs
@@ -4,7 +4,7 @@
 use super::close_reason::CloseReason;
 use super::eviction::{EvictionKind, EvictionRank};
 use super::memory_pressure::SkippedMessage;
-use crate::net::budget::{Budget, Buffer, Reservation};
+use crate::net::budget::{Budget, Buffer};
 use crate::net::stream::Stream;
 use crate::statement_labels::{Statement, code};
 use plovercove::{Micros, Time};
@@ -62,8 +62,6 @@
     pub(super) request: Key,
     pub(super) statement: Rc<Statement>,
     pub(super) is_write: bool,
-    /// Reserves the statement's bytes in the memory budget.
-    pub(super) _reservation: Reservation,
 }
 
 /// A pending answer to a client. Answers are sent in the order of the requests.
--- a/router/src/front/query.rs
+++ b/router/src/front/query.rs
@@ -189,6 +189,7 @@
         } else {
             Shape::Any
         };
+        let statement = Statement::new(text, &labels, shape);
         let request = engine.begin_request(key, info);
         debug!(
             client = key.number(),
@@ -197,10 +198,9 @@
             "request accepted"
         );
         Ok(ForwardedRequest {
-            statement: Rc::new(Statement::new(text, &labels, shape)),
+            statement: Rc::new(statement.with_reservation(reservation)),
             is_write: access == Access::Write,
             request,
-            _reservation: reservation,
         })
     }
 
--- a/router/src/statement_labels.rs
+++ b/router/src/statement_labels.rs
@@ -1,18 +1,23 @@
 //! Statements as the platform's clients send them, with labels in a leading comment. Also re-exports the message framing of
 //! `plovercove-pgwire`.
 
+use crate::net::budget::Reservation;
 pub use plovercove_pgwire::messages::*;
 use plovercove_pgwire::reply::Shape;
 use std::ops::Range;
 
+/// Bytes of a query message besides its text: its type, its length and a zero byte.
+const QUERY_OVERHEAD_BYTES: usize = 6;
+
 /// A query of a client. It is forwarded unchanged, except for the timeout in its labels.
-#[derive(Debug, PartialEq, Eq)]
 pub struct Statement {
     text: String,
     /// The position of the digits of the label `d`, the timeout.
     timeout_digits: Range<usize>,
     /// The expected shape of the reply.
     pub shape: Shape,
+    /// Reserves the bytes of the text in the memory budget for as long as anything holds the statement.
+    _reservation: Option<Reservation>,
 }
 
 /// The labels in the leading comment of a statement.
@@ -164,16 +169,28 @@
             text: text.to_string(),
             timeout_digits: labels.timeout_digits.clone(),
             shape,
+            _reservation: None,
         }
     }
 
+    /// Keeps a reservation of memory until the statement is dropped.
+    pub fn with_reservation(mut self, reservation: Reservation) -> Self {
+        self._reservation = Some(reservation);
+        self
+    }
+
     /// Appends the statement as a query message with this timeout in milliseconds.
     pub fn append_query(&self, out: &mut Vec<u8>, timeout_ms: u64) {
-        let (before, after) = (
-            &self.text[..self.timeout_digits.start],
-            &self.text[self.timeout_digits.end..],
-        );
-        put_query(out, &format!("{before}{timeout_ms}{after}"));
+        let before = &self.text[..self.timeout_digits.start];
+        let after = &self.text[self.timeout_digits.end..];
+        let timeout = timeout_ms.to_string();
+        // One allocation of the final size: a statement may have megabytes.
+        out.reserve_exact(before.len() + timeout.len() + after.len() + QUERY_OVERHEAD_BYTES);
+        put(out, b'Q', |out| {
+            out.extend_from_slice(before.as_bytes());
+            out.extend_from_slice(timeout.as_bytes());
+            put_text(out, after.as_bytes());
+        });
     }
 }
 
--- a/router/src/upstream/connection.rs
+++ b/router/src/upstream/connection.rs
@@ -17,7 +17,9 @@
     /// An attempt of a request.
     Attempt {
         id: AttemptId,
-        statement: Rc<Statement>,
+        /// The statement, until it has been queued on a connection. An attempt may be in flight for long after its client has
+        /// left, and would keep the statement's memory.
+        statement: Option<Rc<Statement>>,
     },
     /// A health check of this router.
     HealthCheck { queried_at: Time },
--- a/router/src/upstream/mod.rs
+++ b/router/src/upstream/mod.rs
@@ -115,6 +115,7 @@
         now: Time,
         engine: &mut Engine,
     ) {
+        let statement = Some(statement);
         self.start(Job::Attempt { id, statement }, node, now, engine);
     }
 
--- a/router/src/upstream/pool.rs
+++ b/router/src/upstream/pool.rs
@@ -208,15 +208,24 @@
     }
 
     /// Starts a job on a ready connection. Returns the job if it may not start.
-    fn assign(&mut self, key: Key, job: Job, now: Time, engine: &mut Engine) -> Result<(), Job> {
+    fn assign(
+        &mut self,
+        key: Key,
+        mut job: Job,
+        now: Time,
+        engine: &mut Engine,
+    ) -> Result<(), Job> {
         let Some(connection) = self.connections.get_mut(key) else {
             return Err(job);
         };
         if !job.may_begin(&connection.node, now, engine) {
             return Err(job);
         }
-        let (shape, deadline) = match &job {
+        let (shape, deadline) = match &mut job {
             Job::Attempt { id, statement } => {
+                let Some(statement) = statement.take() else {
+                    return Err(job);
+                };
                 self.running_attempts.insert(*id, key);
                 let time_left = engine.attempt_time_left(*id, now);
                 let timeout_ms = clock::to_ms(time_left).max(1);
--- a/router/src/upstream/tests.rs
+++ b/router/src/upstream/tests.rs
@@ -41,6 +41,7 @@
 const ERROR: &[u8] = b"E\0\0\0\x17SERROR\0CXX000\0Mno\0\0";
 
 mod copies;
+mod statement_memory;
 
 fn class(name: &str, access: Access, effect: Idempotency) -> Class {
     Class {
--- a/router/tests/standing_memory.rs
+++ b/router/tests/standing_memory.rs
@@ -112,6 +112,30 @@
     assert_eq!(harness.next_event(&mut usual), ClientEvent::Ready);
 }
 
+#[test]
+fn a_statement_that_an_attempt_holds_counts_although_its_client_has_gone() {
+    const HELD_BYTES: usize = 112 * 1024;
+    let mut harness = Harness::with_budget(16, BUDGET_BYTES);
+    let mut leaving = harness.connected_client();
+    let request = long_query("b1", HELD_BYTES);
+    send_in_parts(&mut harness, &mut leaving, &request);
+    let (attempt, origin) = harness.begun_attempts[0];
+    let statement = harness.front.statement(origin, attempt.request);
+    assert!(statement.is_some());
+    drop(leaving);
+    harness.run_turns_until("the client has gone", |harness| {
+        harness.front.client_count() == 0
+    });
+    let _rest = harness.reserve_memory(BUDGET_BYTES - HELD_BYTES);
+    let mut usual = harness.connected_client();
+    usual.send(&query("b2"));
+    assert_eq!(harness.next_event(&mut usual), rejected());
+    drop(statement);
+    harness.begin_request(&mut usual, "b3");
+    harness.answer_last_attempt();
+    assert_eq!(harness.next_event(&mut usual), ClientEvent::Ready);
+}
+
 #[test]
 fn a_request_on_its_way_is_answered_although_the_next_message_is_dropped() {
     // The close took the answers with it that were pending on the connection.
