Tests: slow readers and a replica that leaves in the soak of restarts

Some pipelining clients read their answers only during the shutdown or after the kill, and in some restarts the list says that a replica leaves. The log is printed for seeds that fail.

--- a/router/tests/shutdown.rs
+++ b/router/tests/shutdown.rs
@@ -33,6 +33,7 @@
         interval: Duration::from_millis(40),
         class,
         timeout_ms: 0,
+        reads_from: None,
     }
 }
 
@@ -160,6 +161,7 @@
                         earliest_kill(&plan)
                     );
                     if !outcome.lost.is_empty() {
+                        println!("log of seed {seed}:\n{}", outcome.log.join("\n"));
                         let mut faults = faults.lock().expect("no panic");
                         faults.push((seed, outcome.lost));
                     }
--- a/router/tests/shutdown_rig/plan.rs
+++ b/router/tests/shutdown_rig/plan.rs
@@ -10,6 +10,8 @@
 pub const CLASSES: [(&str, &str); 2] = [("look", "idempotent"), ("book", "at_most_once")];
 /// New connections keep coming for at most this long after SIGTERM (ms).
 const MAX_CONNECT_AFTER_SIGTERM_MS: i64 = 400;
+/// Time after SIGKILL until which a slow reader may delay reading (ms).
+const MAX_READING_DELAY_AFTER_KILL_MS: i64 = 200;
 /// Time for which a router may be held up (ms).
 const HOLD_UP_MS: i64 = 150;
 /// Time from the end of the last hold-up until SIGKILL (ms).
@@ -93,6 +95,8 @@
     /// Index into `CLASSES`.
     pub class: usize,
     pub timeout_ms: u64,
+    /// Time from which on it reads its answers, if it does not read them at once.
+    pub reads_from: Option<SinceSigterm>,
 }
 
 /// A signal to the router.
@@ -116,6 +120,8 @@
     pub nodes_fail_before: Duration,
     pub clients: Vec<ClientScript>,
     pub signals: Vec<PlannedSignal>,
+    /// Time at which the list says that the last replica leaves, if it does.
+    pub replica_leaves_at: Option<SinceSigterm>,
 }
 
 impl Plan {
@@ -133,6 +139,7 @@
                 at: SinceSigterm(0),
                 signal: ProcessSignal::Term,
             }],
+            replica_leaves_at: None,
         }
     }
 
@@ -172,6 +179,17 @@
         }
         let kill_after_ms = super::earliest_kill(&plan).as_millis() as i64;
         plan.signals.retain(|signal| signal.at.0 < kill_after_ms);
+        if rng.random_bool(0.3) {
+            plan.replica_leaves_at = Some(SinceSigterm(rng.random_range(-500..1_000)));
+        }
+        for client in &mut plan.clients {
+            // In a crowd, connections without a request may be closed at any time, which a slow reader does not see.
+            let may_be_slow = client.kind == ClientKind::Pipelining && !has_crowd;
+            if may_be_slow && rng.random_bool(0.3) {
+                let latest = kill_after_ms + MAX_READING_DELAY_AFTER_KILL_MS;
+                client.reads_from = Some(SinceSigterm(rng.random_range(0..latest)));
+            }
+        }
         if rng.random_bool(0.4) {
             plan.hold_up(SinceSigterm(rng.random_range(-HOLD_UP_MS..0)));
         }
@@ -200,6 +218,7 @@
         interval: Duration::ZERO,
         class: 0,
         timeout_ms: 0,
+        reads_from: None,
     }
 }
 
@@ -232,5 +251,6 @@
             true => deadline_ms,
             false => rng.random_range(deadline_ms / 2..deadline_ms * 2),
         },
+        reads_from: None,
     }
 }
