--- a/router/src/front/accept.rs
+++ b/router/src/front/accept.rs
@@ -10,11 +10,8 @@
 use crate::net::{EventSource, poll_key};
 use plovercove::{Micros, Time};
 use plovercove_engine::{Deadline, Engine, Key};
-use plovercove_pgwire::Version;
-use plovercove_pgwire::session::Session;
 use plovercove_poller::Interest;
 use socket2::SockRef;
-use std::collections::VecDeque;
 use std::io::{self, ErrorKind};
 use std::net::{IpAddr, TcpListener, TcpStream};
 use tracing::{debug, warn};
@@ -171,49 +168,21 @@
         } else {
             Phase::Rejecting
         };
-        let is_draining = self.context.is_draining();
-        let first_request_timeout = if has_free_slot && !is_draining {
-            FIRST_REQUEST_TIMEOUT
-        } else {
-            FIRST_REQUEST_TIMEOUT_DRAINING
-        };
-        let message_timeout = if is_draining {
-            MESSAGE_TIMEOUT_DRAINING
-        } else {
-            MESSAGE_TIMEOUT
-        };
-        let session = Session::new(listener.config.formats);
-        let idle_timeout = listener.config.idle_timeout;
+        let (first_request_timeout, message_timeout) = (
+            self.first_request_timeout(has_free_slot),
+            self.message_timeout(),
+        );
+        let config = &listener.config;
         let (poll, budget) = (&self.poll, &self.context.budget);
         let accepted = self.clients.insert_with(|key| {
             let key = poll_key(EventSource::Client, Some(key));
             let max_unread = MAX_MESSAGE_BYTES + 8;
             let stream = Stream::new(poll, budget, socket, key, Interest::Read, max_unread)?;
-            Ok::<_, io::Error>(Client {
-                stream,
-                listener: number,
-                address,
-                phase,
-                startup: Some(Box::default()),
-                version: Version::V30,
-                session,
-                cancel_id: None,
-                last_write_at: None,
-                idle_timeout,
-                pending: VecDeque::new(),
-                last_progress_at: now,
-                message_began_at: None,
-                message_timeout,
-                skipped_message: None,
-                is_input_closed: false,
-                linger: None,
-                has_requested: false,
-                first_request_deadline: now + first_request_timeout,
-                protocol_errors: 0,
-                next_check: None,
-                eviction_rank: None,
-                is_marked: false,
-            })
+            let mut client = Client::new(stream, number, address, config, now);
+            client.phase = phase;
+            client.first_request_deadline = now + first_request_timeout;
+            client.message_timeout = message_timeout;
+            Ok::<_, io::Error>(client)
         });
         let key = match accepted {
             Ok(key) => key,
@@ -233,4 +202,21 @@
             self.handle_event(key, false, now, engine);
         }
     }
+
+    /// Returns the time in which a new connection has to send its first request.
+    fn first_request_timeout(&self, has_free_slot: bool) -> Micros {
+        if has_free_slot && !self.context.is_draining() {
+            FIRST_REQUEST_TIMEOUT
+        } else {
+            FIRST_REQUEST_TIMEOUT_DRAINING
+        }
+    }
+
+    fn message_timeout(&self) -> Micros {
+        if self.context.is_draining() {
+            MESSAGE_TIMEOUT_DRAINING
+        } else {
+            MESSAGE_TIMEOUT
+        }
+    }
 }
--- a/router/src/front/client.rs
+++ b/router/src/front/client.rs
@@ -3,6 +3,7 @@
 use super::Context;
 use super::close_reason::CloseReason;
 use super::eviction::{EvictionKind, EvictionRank};
+use super::listener::ListenerConfig;
 use super::memory_pressure::SkippedMessage;
 use crate::net::budget::{Budget, Buffer};
 use crate::net::stream::Stream;
@@ -142,6 +143,41 @@
 }
 
 impl Client {
+    /// Returns a client that has just connected to a listener and has to log in at once, until its timeouts are set.
+    pub(super) fn new(
+        stream: Stream,
+        listener: usize,
+        address: IpAddr,
+        config: &ListenerConfig,
+        now: Time,
+    ) -> Self {
+        Client {
+            stream,
+            listener,
+            address,
+            phase: Phase::LoggingIn,
+            startup: Some(Box::default()),
+            version: Version::V30,
+            session: Session::new(config.formats),
+            cancel_id: None,
+            last_write_at: None,
+            idle_timeout: config.idle_timeout,
+            pending: VecDeque::new(),
+            last_progress_at: now,
+            message_began_at: None,
+            message_timeout: 0,
+            skipped_message: None,
+            is_input_closed: false,
+            linger: None,
+            has_requested: false,
+            first_request_deadline: now,
+            protocol_errors: 0,
+            next_check: None,
+            eviction_rank: None,
+            is_marked: false,
+        }
+    }
+
     /// Returns true if no answer is pending or unsent, and no message is incomplete or unread.
     pub(super) fn is_idle(&self) -> bool {
         self.has_nothing_pending() && !self.has_partial_input()
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -8,15 +8,15 @@
 use crate::clock::Clock;
 use crate::config::{self, Config};
 use crate::discovery::{Discovery, Listing};
-use crate::front::Front;
-use crate::gossip::{self, GossipSocket};
+use crate::front::{Front, ListenerConfig};
+use crate::gossip::{self, GossipConfig, GossipSocket};
 use crate::net::budget::Budget;
 use crate::net::signals::{Registration, Signal, Signals};
 use crate::net::{EventSource, split_poll_key};
 use crate::operators;
 use crate::shutdown::ShutdownSchedule;
 use crate::upstream::Upstream;
-use plovercove::{EndpointUpdate, LocalityPolicy, Micros, Time};
+use plovercove::{EndpointUpdate, LocalityPolicy, Micros, Settings, Time};
 use plovercove_engine::{Command, Deadline, Engine, Key, ListSource, WatchSchedule};
 use plovercove_gossip::Observer;
 use plovercove_locality::ZoneFailover;
@@ -40,6 +40,35 @@
     })
 }
 
+/// Returns the longest deadline of any class.
+fn longest_deadline(settings: &Settings) -> Micros {
+    let deadlines = settings.classes.iter().map(|class| class.deadline);
+    deadlines.max().unwrap_or(0)
+}
+
+/// Returns how the router learns of changes of the endpoint list.
+fn list_source(settings: &Settings) -> ListSource {
+    match settings.subscribe {
+        true => ListSource::Polled,
+        false => ListSource::Pushed {
+            drain_grace: settings.drain_grace,
+        },
+    }
+}
+
+/// Returns the policy that decides which zones a request may use: the zone failover, behind the observer of gossip.
+fn locality_policy(
+    zone_failover: Option<ZoneFailover>,
+    gossip_config: Option<&GossipConfig>,
+    settings: &Settings,
+) -> Option<Box<dyn LocalityPolicy>> {
+    let policy = zone_failover.map(|policy| Box::new(policy) as Box<dyn LocalityPolicy>);
+    let Some(config) = gossip_config else {
+        return policy;
+    };
+    Some(Box::new(Observer::new(&config.rules, settings, policy)))
+}
+
 /// A poller event of one socket.
 struct ReadyEvent {
     key: Key,
@@ -107,29 +136,14 @@
         let listener = bind_listener(config.listen, "clients")?;
         let listen = listener.local_addr()?;
         let (settings, budget) = (config.settings, Budget::new(config.max_buffered_bytes));
-        let longest_deadline = settings
-            .classes
-            .iter()
-            .map(|class| class.deadline)
-            .max()
-            .unwrap_or(0);
+        let longest_deadline = longest_deadline(&settings);
         let names = Names::new(&settings);
         // With a remembered list, discovery is asked only for the changes since its version, not for the complete list.
         let index = Some(config.remembered_list.index)
             .filter(|_| !config.remembered_list.entries.is_empty());
-        let list_source = match settings.subscribe {
-            true => ListSource::Polled,
-            false => ListSource::Pushed {
-                drain_grace: settings.drain_grace,
-            },
-        };
+        let list_source = list_source(&settings);
         let clock = Clock::default();
-        let policy = zone_failover.map(|policy| Box::new(policy) as Box<dyn LocalityPolicy>);
-        let policy = match &gossip_config {
-            Some(config) => Some(Box::new(Observer::new(&config.rules, &settings, policy))
-                as Box<dyn LocalityPolicy>),
-            None => policy,
-        };
+        let policy = locality_policy(zone_failover, gossip_config.as_ref(), &settings);
         let open_gossip = |gossip_config| {
             GossipSocket::open(
                 &poll,
@@ -175,17 +189,22 @@
             longest_deadline,
             shutdown: None,
         };
-        for (address, listener_config) in listeners {
-            let listener = bind_listener(address, "clients of a further front")?;
-            info!(front = listener_config.name, address = %listener.local_addr()?, "listening on an additional address");
-            router.front.add_listener(listener, listener_config)?;
-        }
+        router.add_listeners(listeners)?;
         let now = router.clock.now();
         router.apply_listing(config.remembered_list, true, now);
         info!(name = config.name, %listen, "serving");
         Ok(router)
     }
 
+    fn add_listeners(&mut self, listeners: Vec<(SocketAddr, ListenerConfig)>) -> Result<(), Error> {
+        for (address, config) in listeners {
+            let listener = bind_listener(address, "clients of a further front")?;
+            info!(front = config.name, address = %listener.local_addr()?, "listening on an additional address");
+            self.front.add_listener(listener, config)?;
+        }
+        Ok(())
+    }
+
     /// Runs until the shutdown after SIGTERM is complete.
     pub fn run(mut self) -> Result<(), Error> {
         let mut events = Events::new();
--- a/router/tests/shutdown_rig/mod.rs
+++ b/router/tests/shutdown_rig/mod.rs
@@ -8,11 +8,10 @@
 use crate::standing_fleet::{Start, TEST_TIMEOUT, group, listing, with_status};
 use client::{ConnectionEnd, Record};
 use plan::{Plan, PlannedSignal};
-use plovercove_emulator::faulty_peers::{Agent, AgentReply, NodeBehavior};
+use plovercove_emulator::faulty_peers::{Agent, AgentReply, Node, NodeBehavior};
 use plovercove_emulator::process::{Folder, Process, ProcessSignal};
 use serde_json::{Value, json};
 use std::path::Path;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// SIGKILL comes this long after SIGTERM and the longest deadline. Requests that come earlier after SIGTERM than this may
@@ -102,34 +101,15 @@
             std::thread::spawn(move || client::run(number, &script, listen, sigterm_at, sigkill_at))
         })
         .collect();
-    let nodes = Arc::new(nodes);
-    let (behaviors, changing) = (plan.node_behaviors, Arc::clone(&nodes));
-    let nodes_fail_at = sigterm_at - plan.nodes_fail_before;
-    let node_changes = std::thread::spawn(move || {
-        sleep_until(nodes_fail_at);
-        for (node, behavior) in changing.iter().zip(behaviors) {
-            node.set_behavior(behavior);
-        }
+    let ended_at = std::thread::scope(|scope| {
+        scope.spawn(|| fail_nodes(plan, &nodes, sigterm_at));
+        scope.spawn(|| change_list(plan, &agent, &entries, sigterm_at));
+        send_signals(plan, &mut router, sigterm_at);
+        let ended_at = wait_until_ended(&mut router, sigkill_at);
+        router.send_signal(ProcessSignal::Kill);
+        ended_at
     });
-    let leaving = with_status(&entries, 2, "leaving");
-    let (leaves_at, agent) = (plan.replica_leaves_at, Arc::new(agent));
-    let changing_agent = Arc::clone(&agent);
-    let list_change = std::thread::spawn(move || {
-        if let Some(at) = leaves_at {
-            sleep_until(at.from(sigterm_at));
-            changing_agent.push_reply(AgentReply::Body(listing(43, &leaving)));
-        }
-    });
-    let mut planned = plan.signals.clone();
-    planned.sort_by_key(|signal| signal.at);
-    for PlannedSignal { at, signal } in planned {
-        sleep_until(at.from(sigterm_at));
-        router.send_signal(signal);
-    }
-    let ended_after = wait_until_ended(&mut router, sigkill_at).map(|at| at - sigterm_at);
-    router.send_signal(ProcessSignal::Kill);
-    node_changes.join().expect("no panic");
-    list_change.join().expect("no panic");
+    let ended_after = ended_at.map(|at| at - sigterm_at);
     let records: Vec<Record> = clients
         .into_iter()
         .flat_map(|client| client.join().expect("no panic"))
@@ -146,6 +126,33 @@
     }
 }
 
+/// Lets the nodes begin to fail as planned.
+fn fail_nodes(plan: &Plan, nodes: &[Node], sigterm_at: Instant) {
+    sleep_until(sigterm_at - plan.nodes_fail_before);
+    for (node, behavior) in nodes.iter().zip(plan.node_behaviors) {
+        node.set_behavior(behavior);
+    }
+}
+
+/// Lets the last replica leave, if that is planned.
+fn change_list(plan: &Plan, agent: &Agent, entries: &[Value], sigterm_at: Instant) {
+    let Some(at) = plan.replica_leaves_at else {
+        return;
+    };
+    sleep_until(at.from(sigterm_at));
+    let leaving = with_status(entries, 2, "leaving");
+    agent.push_reply(AgentReply::Body(listing(43, &leaving)));
+}
+
+fn send_signals(plan: &Plan, router: &mut Process, sigterm_at: Instant) {
+    let mut planned = plan.signals.clone();
+    planned.sort_by_key(|signal| signal.at);
+    for PlannedSignal { at, signal } in planned {
+        sleep_until(at.from(sigterm_at));
+        router.send_signal(signal);
+    }
+}
+
 pub fn sleep_until(at: Instant) {
     std::thread::sleep(at.saturating_duration_since(Instant::now()));
 }
