--- a/router/src/shutdown.rs
+++ b/router/src/shutdown.rs
@@ -1,7 +1,7 @@
 //! The times of a graceful shutdown.
 //!
-//! SIGKILL follows SIGTERM: after the longest deadline of any class, of which at most [`MAX_COUNTED_DEADLINE`] counts, and
-//! [`KILL_MARGIN`]. A request that SIGKILL finds unanswered is lost, and so is one that the router leaves behind when it ends.
+//! SIGKILL follows SIGTERM: after the longest deadline of any class, of which at most `MAX_COUNTED_DEADLINE` counts, and
+//! `KILL_MARGIN`. A request that SIGKILL finds unanswered is lost, and so is one that the router leaves behind when it ends.
 //! Therefore every step of the shutdown has a time that is derived from the earliest SIGKILL, and none depends on what
 //! clients or nodes do.
 
