review: case 8 keeps within the members' shares and records each request

Its record had the wrong reads only, and that of case 9 no answers.

Change: one router with the whole deployment's traffic, clients of all members, not in step, 60 ms a statement; both cases record what was sent, answered and run.

--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -14,7 +14,7 @@
 /// Seconds of the log that a replica applies in a second: its one thread is busy for 45 to 66% of the time.
 const CATCH_UP_PACE: f64 = 1.6;
 /// Clients, each with one session after the other.
-const CLIENTS: usize = 144;
+const CLIENTS: usize = 120;
 /// A session reads what it has written after these times (ms).
 const READS_AFTER: [u64; 8] = [300, 600, 1_000, 1_400, 1_800, 2_200, 2_600, 3_000];
 /// Sessions that have written when the replicas join.
@@ -35,7 +35,7 @@
 }
 
 fn case(record: &Record, folder: &Path) -> bool {
-    let group = Group::new(record, true, 4_000, false);
+    let group = Group::new(record, true, 60_000, true);
     let follows = Log::Follows { delay_us: 8_000 };
     let mut members: Vec<Arc<Member>> = ["p", "r1", "r2", "r3", "r4"]
         .iter()
@@ -53,39 +53,48 @@
     let agent = Agent::start();
     agent.set(list(&members, 0));
     let listen = free_address();
-    let settings = config(listen, agent.address, &agent.known(), FAMILY, PROFILES);
+    // One router has the traffic of the whole deployment.
+    let settings = config(listen, agent.address, &agent.known(), FAMILY, PROFILES).replace(r#""Balancers":3"#, r#""Balancers":1"#);
     let mut router = Router::start(folder, &settings, listen, None);
     record.line("the router has answered the empty query");
 
     let written: Arc<Mutex<Vec<Written>>> = Arc::default();
     let sessions = Arc::new(AtomicUsize::new(0));
-    let answered = Arc::new(AtomicUsize::new(0));
     let is_over = Arc::new(AtomicBool::new(false));
     let clients: Vec<_> = (0..CLIENTS)
         .map(|number| {
-            let (written, sessions, answered, is_over) = (written.clone(), sessions.clone(), answered.clone(), is_over.clone());
+            let (written, sessions, record, is_over) = (written.clone(), sessions.clone(), record.clone(), is_over.clone());
             thread::spawn(move || {
                 let mut connection = Session::new(listen);
                 let mut count = 0;
+                // The clients don't write in step.
+                sleep_ms(number as u64 * 3_000 / CLIENTS as u64);
+                // The shares of the members.
+                let tenant = match number % 100 {
+                    0..56 => "xe-chung-sai-gon",
+                    56..83 => "di-cung-ha-noi",
+                    _ => "ghep-xe-mien-trung",
+                };
                 while !is_over.load(Ordering::Relaxed) {
                     let key = format!("s{number}x{count}");
                     let id = |what: &str| format!("{what}{number}x{count}");
                     let begun = now_us();
                     let answer = connection.query(&format!(
-                        "/* id={},c=book-seat,t=xe-chung-sai-gon,d=5000,cluster=1 */ INSERT INTO objects (oid, body) VALUES ('{key}', 'x') RETURNING body",
+                        "/* id={},c=book-seat,t={tenant},d=5000,cluster=1 */ INSERT INTO objects (oid, body) VALUES ('{key}', 'x') RETURNING body",
                         id("w")
                     ));
+                    record.line(format!("client: {} answered with {answer:?}", id("w")));
                     if matches!(answer, Answer::Row(_)) {
                         written.lock().unwrap().push(Written { key: key.clone(), commit_us: 0, answered_us: now_us() });
                         sessions.fetch_add(1, Ordering::Relaxed);
                     }
                     for (nth, after) in READS_AFTER.iter().enumerate() {
                         sleep_until(begun + after * 1000);
-                        connection.query(&format!(
-                            "/* id={},c=my-booking,t=xe-chung-sai-gon,d=1000,cluster=1 */ SELECT body FROM objects WHERE oid = '{key}'",
-                            id(&format!("r{nth}x"))
+                        let read = id(&format!("r{nth}x"));
+                        let answer = connection.query(&format!(
+                            "/* id={read},c=my-booking,t={tenant},d=1000,cluster=1 */ SELECT body FROM objects WHERE oid = '{key}'"
                         ));
-                        answered.fetch_add(1, Ordering::Relaxed);
+                        record.line(format!("client: {read} answered with {answer:?}"));
                     }
                     count += 1;
                 }
--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -55,7 +55,11 @@
         }
         record.line(format!("client {number}: sent a report and {BOOKINGS} bookings"));
         if !trouble() {
-            unanswered += queries.iter().filter(|_| matches!(client.answer(), Answer::Nothing(_))).count();
+            for query in &queries {
+                let answer = client.answer();
+                record.line(format!("client {number}: {} answered with {answer:?}", label(query, "id").unwrap()));
+                unanswered += usize::from(matches!(answer, Answer::Nothing(_)));
+            }
             record.line(format!("client {number}: has read its answers, and closes"));
             continue;
         }
