Primary: the list no longer names a former primary that has denied it

Cause: a denial outranked the endpoint list for 6 s only (Node::denial_outranks_list); then Group::list_names_primary seated the node again, whose reads are exempt from the check of freshness. The denial was lost with a node or group that left the list, and a load report from before a denial counted as a claim (accepts_claim).

Change: once a member of a group has told its role, only claims that are newer than the node's own denial count. The list says which member a write asks first. Reads that must be current have members polled while no primary is known, since no write may come.

--- a/src/endpoints.rs
+++ b/src/endpoints.rs
@@ -100,8 +100,7 @@
         }
         node.set_state(endpoint.state, self.settings.removed_nodes_stay_open, now);
         let is_serving = endpoint.state == EndpointState::Serving;
-        let named_primary =
-            endpoint.listed_as_primary && is_serving && !node.denial_outranks_list(now);
+        let named_primary = endpoint.listed_as_primary && is_serving;
         let (old_group, new_group) = (node.endpoint.group, endpoint.group);
         node.endpoint = endpoint;
         if let Some(group) = self.groups.get_mut(&old_group) {
@@ -130,6 +129,8 @@
             let is_known = |id: &NodeId| self.nodes.contains_key(id);
             group.primary.take_if(|primary| !is_known(&primary.node));
         }
-        self.groups.retain(|_, group| !group.members.is_empty());
+        // What its members have told of their roles outranks the list also if the whole group leaves it for a while.
+        self.groups
+            .retain(|_, group| !group.members.is_empty() || group.has_told_role);
     }
 }
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -153,9 +153,13 @@
                     position_check,
                 }
             }
-            Access::Latest => {
+            Access::Latest if known_primary.is_some() => {
                 Selection::send_to(primary.or_else(|| self.find_most_advanced(request, admitting)))
             }
+            Access::Latest => Selection {
+                node: self.find_most_advanced(request, admitting),
+                position_check: self.find_member_to_check_for_read(request, admitting),
+            },
             Access::OwnWrites | Access::Bounded(_) | Access::Any => {
                 let may_serve =
                     |node: &&Node| !is_primary(node) && !request.was_misdirected_to(node.id());
--- a/src/primary.rs
+++ b/src/primary.rs
@@ -1,10 +1,12 @@
 //! Which member of a group this router takes for its primary.
 //!
 //! The newest evidence wins: an answer counts as of now, and a report as of the position that it states. The endpoint
-//! list counts only if nothing else is known, since it is seconds late. This prevents two failures: a presumed primary
-//! that changes back and forth on outdated reports, and writes that wait for a primary that no list names.
+//! list counts only until a member of the group has told its role, since it is seconds late or shows the roles of the
+//! start; after that it only says which member to ask first. This prevents three failures: stale reads at a former
+//! primary that the list still names, a presumed primary that changes back and forth on outdated reports, and writes
+//! that wait for a primary that no list names.
 
-use crate::api::{Action, GroupId, LogEvent, Micros, NodeId, NodeReport, Role, Time};
+use crate::api::{Action, GroupId, LogEvent, Micros, NodeId, NodeReport, Role, RoleSource, Time};
 use crate::balancer::Balancer;
 use crate::load::ExternalLoad;
 use crate::node::Node;
@@ -13,8 +15,8 @@
 
 /// Time during which a member that denied being primary gets no further writes as a presumed primary.
 const DENIAL_PAUSE: Micros = 250_000;
-/// Time during which a member's denial of being primary outranks the endpoint list.
-const DENIAL_OUTRANKS_LIST: Micros = 6_000_000;
+/// Time for which a list that names the current primary may be older than a member's denial of being primary.
+const MAX_LIST_DELAY: Micros = 6_000_000;
 
 /// The node that is presumed to be primary, and the time of the evidence for it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -29,13 +31,18 @@
 pub(crate) struct Group {
     pub(crate) members: BTreeSet<NodeId>,
     pub(crate) primary: Option<PrimaryBelief>,
+    /// Whether a member has told its role. It stays true if members leave the list and return.
+    pub(crate) has_told_role: bool,
     /// Mean number of requests that its members have in flight for other routers.
     pub(crate) external_load: ExternalLoad,
 }
 
 impl Group {
-    /// Records the primary that the endpoint list names. It counts only if nothing better is known.
+    /// Records the primary that the endpoint list names. It counts only if no member has told its role.
     pub(crate) fn list_names_primary(&mut self, node: NodeId) {
+        if self.has_told_role {
+            return;
+        }
         self.primary.get_or_insert(PrimaryBelief {
             node,
             evidence_at: 0,
@@ -69,10 +76,19 @@
 }
 
 impl Node {
-    /// Returns whether the node denied being primary so recently that its denial outranks the endpoint list.
-    pub(crate) fn denial_outranks_list(&self, now: Time) -> bool {
+    /// Returns whether the endpoint list names the node as primary and may be newer than the node's last denial.
+    fn is_named_since_denial(&self, role_source: RoleSource, now: Time) -> bool {
+        let may_be_newer = |denied_at: Time| match role_source {
+            RoleSource::Late => now >= denied_at + MAX_LIST_DELAY,
+            RoleSource::Initial | RoleSource::None => false,
+        };
+        self.endpoint.listed_as_primary && self.denied_primary_at.is_none_or(may_be_newer)
+    }
+
+    /// Returns whether a claim to be primary with evidence of this time is newer than the node's last denial.
+    fn claims_since_denial(&self, evidence_at: Time) -> bool {
         self.denied_primary_at
-            .is_some_and(|at| now < at + DENIAL_OUTRANKS_LIST)
+            .is_none_or(|denied_at| evidence_at > denied_at)
     }
 
     /// Returns whether the node denied being primary so recently that another write would only be rejected.
@@ -117,8 +133,11 @@
         } else {
             reported_position.unwrap_or(0)
         };
+        group.has_told_role |= report.role.is_some();
+        let is_newest_claim =
+            node.claims_since_denial(evidence_at) && group.accepts_claim(id, evidence_at);
         match report.role {
-            Some(Role::Primary) if group.accepts_claim(id, evidence_at) => {
+            Some(Role::Primary) if is_newest_claim => {
                 node.denied_primary_at = None;
                 if group.observe_claim(id, evidence_at) {
                     let text = format!("group {}: primary is {id}", node.endpoint.group);
@@ -142,8 +161,8 @@
         }
     }
 
-    /// Finds the primary of a group in which none is known. One write at a time is sent to a member, the most advanced
-    /// first. A member that is not primary rejects the write without executing it, so the only cost is the attempt.
+    /// Finds the primary of a group in which none is known. One write at a time is sent to a member: first to the one that
+    /// the endpoint list names, then to the most advanced. A member that is not primary rejects the write without executing it, so the only cost is the attempt.
     ///
     /// Returns the member to try, and a member to poll for its role. Hundreds of routers would poll too often, so
     /// routers with a sparse view poll none.
@@ -165,18 +184,43 @@
             let is_ready = node.is_usable(self.now) || node.accepts_trial(self.now);
             is_ready && !node.has_recently_denied(self.now)
         });
-        let most_advanced = to_try.max_by_key(|node| node.position.applied_up_to);
-        (most_advanced, to_check)
+        let most_likely = to_try.max_by_key(|node| {
+            let is_named = self.is_named_since_denial(node);
+            (is_named, node.position.applied_up_to)
+        });
+        (most_likely, to_check)
     }
 
-    /// Returns the member to poll for its role. With a sparse view it is `None`: when hundreds of routers polled for a
-    /// lost primary, these polls were a fifth of all health checks. Writes alone find the primary there.
+    /// Returns the member to poll for its role on behalf of a read that only the primary can serve. No write may come that
+    /// finds the primary. With a sparse view, such a read polls once.
+    pub(crate) fn find_member_to_check_for_read<'a>(
+        &self,
+        request: &Request,
+        members: &[&'a Node],
+    ) -> Option<&'a Node> {
+        if self.has_sparse_view && request.position_check.is_some() {
+            return None;
+        }
+        self.least_recently_checked(members)
+    }
+
+    /// Returns the member to poll for its role on behalf of a write. With a sparse view it is `None`: when hundreds of
+    /// routers polled for a lost primary, these polls were a fifth of all health checks. Writes alone find the primary
+    /// there.
     fn find_member_to_check<'a>(&self, members: &[&'a Node]) -> Option<&'a Node> {
         if self.has_sparse_view {
             return None;
         }
+        self.least_recently_checked(members)
+    }
+
+    fn least_recently_checked<'a>(&self, members: &[&'a Node]) -> Option<&'a Node> {
         let members = members.iter().copied().filter(|node| node.is_serving());
         let members = members.filter(|node| self.position_check_pays(node));
         members.min_by_key(|node| (node.checked_at, node.router_order))
     }
+
+    fn is_named_since_denial(&self, node: &Node) -> bool {
+        node.is_named_since_denial(self.settings.role_source, self.now)
+    }
 }
