Primary: an answer begun before a node's denial does not make it primary again

Callers would see a stale read: the presumed primary serves reads without a check of freshness.

Cause: a claim in an answer counted as of its arrival, so an answer that a primary had begun and that arrived behind its denial seated it again (Balancer::observe_role).

Evidence: an_answer_that_was_begun_before_a_denial_does_not_make_the_node_primary: two reads at one node, the first answered as a replica, the second 20 ms later as a primary; the next read that must be current went there before the change, and nowhere after it.

Change: a claim in an answer counts as made when its attempt was sent, which is the earliest time at which it can have been true, and must not be older than the denial.

--- a/src/attempt_outcome.rs
+++ b/src/attempt_outcome.rs
@@ -9,6 +9,7 @@
 use crate::concurrency_limit::Signal;
 use crate::load;
 use crate::node::{AttemptKey, InFlight};
+use crate::primary::ReportOrigin;
 use crate::request::{AttemptState, Request};
 
 /// Time during which a node gets no requests after it rejected work because its queue was full, or broke a connection.
@@ -71,8 +72,12 @@
             return;
         };
         if is_answer(ended.end) {
-            self.observe_report(&observation.node, &ended.load_report, false, actions);
-            self.observe_report(&observation.node, &ended.answer_report, true, actions);
+            let in_answer = ReportOrigin::Answer {
+                sent_at: self.now.saturating_sub(ended.elapsed),
+            };
+            let node = &observation.node;
+            self.observe_report(node, &ended.load_report, ReportOrigin::LoadReport, actions);
+            self.observe_report(node, &ended.answer_report, in_answer, actions);
         }
         if observation.is_write && ended.end == AttemptEnd::Misdirected {
             let group = self.requests[&ended.key.request].group();
@@ -92,7 +97,7 @@
         &mut self,
         id: &NodeId,
         report: &NodeReport,
-        is_answer: bool,
+        origin: ReportOrigin,
         actions: &mut Vec<Action>,
     ) {
         let (now, requested_at) = (self.now, load::requested_at(self.now, report.age));
@@ -112,7 +117,7 @@
             group.external_load.observe_member(now, others);
             self.cores.observe(in_flight, report);
         }
-        self.observe_role(id, report, is_answer, actions);
+        self.observe_role(id, report, origin, actions);
     }
 
     /// Records the end of an attempt in its request and in the locality policy.
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -11,7 +11,7 @@
 use crate::latency::ClassStats;
 use crate::load::CoreEstimate;
 use crate::node::{AttemptKey, Node};
-use crate::primary::Group;
+use crate::primary::{Group, ReportOrigin};
 use crate::quota::TenantUsage;
 use crate::random::Random;
 use crate::request::Request;
@@ -145,7 +145,7 @@
                 node,
                 answered: true,
                 load_report,
-            } => self.observe_report(&node, &load_report, false, actions),
+            } => self.observe_report(&node, &load_report, ReportOrigin::LoadReport, actions),
             // Routers share no state, so messages from peers are ignored.
             Event::Timer | Event::HealthChecked { .. } | Event::Peer { .. } => {}
         }
--- a/src/primary.rs
+++ b/src/primary.rs
@@ -18,6 +18,15 @@
 /// Time for which a list that names the current primary may be older than a member's denial of being primary.
 const MAX_LIST_DELAY: Micros = 6_000_000;
 
+/// How a node's report about itself reached this router.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ReportOrigin {
+    /// In the answer to an attempt that was sent at this time.
+    Answer { sent_at: Time },
+    /// In a load report, which is as old as the position that it states.
+    LoadReport,
+}
+
 /// The node that is presumed to be primary, and the time of the evidence for it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct PrimaryBelief {
@@ -85,10 +94,10 @@
         self.endpoint.listed_as_primary && self.denied_primary_at.is_none_or(may_be_newer)
     }
 
-    /// Returns whether a claim to be primary with evidence of this time is newer than the node's last denial.
-    fn claims_since_denial(&self, evidence_at: Time) -> bool {
+    /// Returns whether a claim to be primary that was made at this time or later is newer than the node's last denial.
+    fn claims_since_denial(&self, claimed_since: Time) -> bool {
         self.denied_primary_at
-            .is_none_or(|denied_at| evidence_at > denied_at)
+            .is_none_or(|denied_at| claimed_since >= denied_at)
     }
 
     /// Returns whether the node denied being primary so recently that another write would only be rejected.
@@ -113,12 +122,13 @@
     }
 
     /// Records what a node reports about its role. In an answer the role is as recent as the answer; in a load report
-    /// it is as old as the position.
+    /// it is as old as the position. A claim to be primary may have been made as early as its attempt was sent: an
+    /// answer that a primary had begun may arrive behind its denial.
     pub(crate) fn observe_role(
         &mut self,
         id: &NodeId,
         report: &NodeReport,
-        is_answer: bool,
+        origin: ReportOrigin,
         actions: &mut Vec<Action>,
     ) {
         let Some(node) = self.nodes.get_mut(id) else {
@@ -128,14 +138,17 @@
             return;
         };
         let reported_position = report.position.filter(|position| *position <= self.now);
-        let evidence_at = if is_answer {
-            self.now
-        } else {
-            reported_position.unwrap_or(0)
+        let (evidence_at, claimed_since) = match origin {
+            ReportOrigin::Answer { sent_at } => (self.now, sent_at),
+            ReportOrigin::LoadReport => {
+                let reported_at = reported_position.unwrap_or(0);
+                (reported_at, reported_at)
+            }
         };
+        let is_answer = origin != ReportOrigin::LoadReport;
         group.has_told_role |= report.role.is_some();
         let is_newest_claim =
-            node.claims_since_denial(evidence_at) && group.accepts_claim(id, evidence_at);
+            node.claims_since_denial(claimed_since) && group.accepts_claim(id, evidence_at);
         match report.role {
             Some(Role::Primary) if is_newest_claim => {
                 node.denied_primary_at = None;
--- a/tests/former_primary.rs
+++ b/tests/former_primary.rs
@@ -120,6 +120,43 @@
     );
 }
 
+/// Guards against stale reads after a slow answer that a primary had begun before it denied to be one.
+#[test]
+fn an_answer_that_was_begun_before_a_denial_does_not_make_the_node_primary() {
+    let settings = settings_without_checks(RoleSource::Late);
+    let mut harness = Harness::with_endpoints(settings, list());
+    harness.send_request(request_info(1, LATEST));
+    harness.send_request(request_info(2, LATEST));
+    harness.advance(60 * MS);
+    let now = harness.now;
+    harness.end_attempt(1, 0, AttemptEnd::Success, node_report(Role::Replica, now));
+    harness.advance(20 * MS);
+    let slow_answer = |harness: &mut Harness, id, elapsed| {
+        let now = harness.now;
+        harness.handle_event(Event::AttemptEnded {
+            request: id,
+            attempt: 0,
+            end: AttemptEnd::Success,
+            elapsed,
+            request_over: true,
+            answer_report: node_report(Role::Primary, now),
+            load_report: NodeReport::default(),
+        });
+    };
+    slow_answer(&mut harness, 2, 80 * MS);
+    assert_eq!(harness.send_request(request_info(3, LATEST)), None);
+    harness.advance(1_000 * MS);
+    let write = harness.send_request(request_info(4, AT_MOST_ONCE));
+    assert_eq!(write.as_deref(), Some("p"), "it is the most advanced");
+    harness.advance(40 * MS);
+    slow_answer(&mut harness, 4, 40 * MS);
+    assert_eq!(
+        harness.send_request(request_info(5, LATEST)).as_deref(),
+        Some("p"),
+        "an answer to a later attempt is newer evidence"
+    );
+}
+
 /// Guards against reads that are refused for good because nobody asks the members which of them is the primary.
 #[test]
 fn a_read_that_needs_the_primary_polls_the_members_if_none_is_known() {
