Front: requests behind errors of their connection are answered

Cause: a request to a group that the list does not name counted as a protocol error of the client (Client::forward), and eight errors in a row ended the session at once; what had been received behind the eighth was dropped by the lingering close.

Change: what the router does not know or has no room for does not count, and such a request counts as the first of its client. Errors end a session only if nothing has been received behind them, in the router or in the system's buffer.

--- a/router/src/front/client.rs
+++ b/router/src/front/client.rs
@@ -33,7 +33,7 @@
 const UNREAD_ANSWER_TIMEOUT: Micros = 2_500_000;
 /// Time between two checks whether the last answer to a lingering client has left the system's socket buffer.
 const DELIVERY_CHECK_INTERVAL: Micros = 50_000;
-/// Number of protocol errors in a row that end a session.
+/// Number of protocol errors in a row from which a session ends.
 const MAX_PROTOCOL_ERRORS: u32 = 8;
 /// Maximum number of bytes that a lingering client may still send. Closing a socket with unread bytes resets the
 /// connection, which may destroy the last answer on its way.
@@ -128,7 +128,7 @@
     /// Whether nothing more is read from the client, because the router shuts down.
     pub(super) is_input_closed: bool,
     pub(super) linger: Option<Linger>,
-    /// Whether a request of the client has been accepted. On a listener with default labels, it is true from the login on.
+    /// Whether a sound request of the client has been received. On a listener with default labels, it is true from the login on.
     pub(super) has_requested: bool,
     /// Time by which the first request must be complete.
     pub(super) first_request_deadline: Time,
@@ -188,6 +188,11 @@
         self.skipped_message.is_some() || !self.stream.unread().is_empty()
     }
 
+    /// Returns true if bytes have been received that are not processed yet, here or in the system's socket buffer.
+    fn has_input_waiting(&self) -> bool {
+        self.has_partial_input() || !self.stream.is_quiet()
+    }
+
     /// Returns true if no answer is pending or unsent.
     pub(super) fn has_nothing_pending(&self) -> bool {
         self.pending.is_empty() && self.stream.unsent() == 0
@@ -297,10 +302,11 @@
         });
     }
 
-    /// Queues a protocol error of the client. The session continues, unless there were too many such errors in a row.
+    /// Queues a protocol error of the client. Too many such errors in a row end the session, but only once nothing has been
+    /// received behind them: a request that was sent whole there has to be answered.
     pub(super) fn reply_protocol_error(&mut self, budget: &Budget, code: &str, text: &str) {
-        self.protocol_errors += 1;
-        if self.protocol_errors >= MAX_PROTOCOL_ERRORS {
+        self.protocol_errors = self.protocol_errors.saturating_add(1);
+        if self.protocol_errors >= MAX_PROTOCOL_ERRORS && !self.has_input_waiting() {
             self.end_session(budget, code, text);
         } else {
             self.reply_error(budget, code, text);
--- a/router/src/front/query.rs
+++ b/router/src/front/query.rs
@@ -25,7 +25,7 @@
 enum QueryError {
     /// The client violated the protocol; too many such errors in a row end its session.
     ByClient(SqlError),
-    /// The router cannot accept the query; this does not count against the client.
+    /// The router cannot accept the request, which is sound as far as it was checked; this does not count against the client.
     ByRouter(SqlError),
 }
 
@@ -33,6 +33,10 @@
     fn by_client(code: &'static str, text: impl Into<String>) -> Self {
         QueryError::ByClient(SqlError::new(code, text))
     }
+
+    fn by_router(code: &'static str, text: impl Into<String>) -> Self {
+        QueryError::ByRouter(SqlError::new(code, text))
+    }
 }
 
 impl Client {
@@ -121,8 +125,7 @@
     ) {
         match self.forward(context, key, text, now, engine) {
             Ok(forwarded) => {
-                self.has_requested = true;
-                self.protocol_errors = 0;
+                self.note_sound_request();
                 self.pending.push_back(Pending {
                     request: Some(forwarded),
                     answer: None,
@@ -134,11 +137,17 @@
             }
             Err(QueryError::ByRouter(error)) => {
                 log_rejection(key, &error);
+                self.note_sound_request();
                 self.reply_error(&context.budget, error.code, &error.text);
             }
         }
     }
 
+    fn note_sound_request(&mut self) {
+        self.has_requested = true;
+        self.protocol_errors = 0;
+    }
+
     /// Hands a query with labels to the engine.
     fn forward(
         &self,
@@ -154,18 +163,17 @@
             let text = format!("class {:?} does not exist", labels.class);
             return Err(QueryError::by_client(code::UNDEFINED_OBJECT, text));
         };
-        if !engine.knows_group(labels.group) {
-            let text = format!("no db node of group {} is known", labels.group);
-            return Err(QueryError::by_client(code::CANNOT_CONNECT_NOW, text));
-        }
         let class_rules = &engine.classes()[class];
         let time_left = check_timeout(&labels, class_rules)?;
         let tenant = check_tenant(context, &labels)?;
+        // The list may not have arrived yet, or not name the group for a while.
+        if !engine.knows_group(labels.group) {
+            let text = format!("no db node of group {} is known", labels.group);
+            return Err(QueryError::by_router(code::CANNOT_CONNECT_NOW, text));
+        }
         let Some(reservation) = context.budget.reserve(text.len()) else {
-            return Err(QueryError::ByRouter(SqlError::new(
-                code::TOO_MANY_CONNECTIONS,
-                MEMORY_SPENT_TEXT,
-            )));
+            let error = QueryError::by_router(code::TOO_MANY_CONNECTIONS, MEMORY_SPENT_TEXT);
+            return Err(error);
         };
         if !context.recent_ids.insert_if_new(labels.id, now) {
             let text = format!("id: {} is another request's", labels.id);
