Freshness: what is forgotten of sessions' writes is required of every session

Cause: SessionWrites::remember forgot the writes that all nodes of the moment had applied, and a session without an entry needed no position, so a node that joins later from an older copy, or whose position is not known, was fresh enough for it.

Change: the newest forgotten commit is kept, and required of every session without an entry. All nodes that were open at the pruning have it; others are used once they have told it.

--- a/src/freshness.rs
+++ b/src/freshness.rs
@@ -74,18 +74,24 @@
 }
 
 /// The last write of each session. It is used if clients carry no session tokens.
+///
+/// Entries are forgotten once all open nodes have applied them. A node that joins later may have older data, so the newest
+/// forgotten commit is kept: a session without an entry may have written up to it.
 #[derive(Debug, Default)]
 pub(crate) struct SessionWrites {
     committed_at: BTreeMap<Arc<str>, Time>,
+    newest_forgotten: Option<Time>,
 }
 
 impl SessionWrites {
+    /// Returns the position up to which a session may have written, or `None` if it has certainly not written.
     fn last_write_of(&self, session: &str) -> Option<Time> {
-        self.committed_at.get(session).copied()
+        let remembered = self.committed_at.get(session).copied();
+        remembered.max(self.newest_forgotten)
     }
 
     /// Records the position of a session's write. `applied_everywhere` returns the position that all open nodes have
-    /// applied: writes up to it need no record any more. It is called only when the table is pruned.
+    /// applied: writes up to it are forgotten when the table is pruned.
     pub(crate) fn remember(
         &mut self,
         session: Arc<str>,
@@ -95,10 +101,20 @@
         let last = self.committed_at.entry(session).or_default();
         *last = committed_at.max(*last);
         if self.committed_at.len().is_multiple_of(PRUNE_EVERY_SESSIONS) {
-            let applied = applied_everywhere();
-            self.committed_at.retain(|_, at| Some(*at) > applied);
+            self.forget_up_to(applied_everywhere());
         }
     }
+
+    fn forget_up_to(&mut self, position: Option<Time>) {
+        let newest_forgotten = &mut self.newest_forgotten;
+        self.committed_at.retain(|_, committed_at| {
+            let is_kept = Some(*committed_at) > position;
+            if !is_kept {
+                *newest_forgotten = (*newest_forgotten).max(Some(*committed_at));
+            }
+            is_kept
+        });
+    }
 }
 
 impl Balancer {
