Freshness: the stated age of the last write counts where routers remember writes

Cause: the write is remembered under the first quoted text of its statement, and the read, which quotes nothing, has no session. The listener states the age of the connection's last write (Client::last_write_age), but Balancer::required_position asked for it only where clients carry tokens.

Evidence: the_stated_age_of_the_last_write_counts_beside_the_remembered_one failed before.

Change: both count, the later one decides.

--- a/src/freshness.rs
+++ b/src/freshness.rs
@@ -123,17 +123,22 @@
     pub(crate) fn required_position(&self, info: &RequestInfo) -> Option<Time> {
         match self.settings.classes[info.class].access {
             Access::Latest => Some(self.now),
-            Access::OwnWrites if self.settings.clients_carry_tokens => info
-                .last_write_age
-                .map(|age| self.now.saturating_sub(age) + TOKEN_ROUNDING),
             Access::OwnWrites => {
-                let session = info.session.as_ref()?;
-                self.session_writes.last_write_of(session)
+                let stated = info
+                    .last_write_age
+                    .map(|age| self.now.saturating_sub(age) + TOKEN_ROUNDING);
+                stated.max(self.remembered_write(info))
             }
             Access::Write | Access::Bounded(_) | Access::Any => None,
         }
     }
 
+    /// Returns the position up to which the request's session may have written, if the router remembers sessions' writes.
+    fn remembered_write(&self, info: &RequestInfo) -> Option<Time> {
+        let session = info.session.as_ref()?;
+        self.session_writes.last_write_of(session)
+    }
+
     /// Returns whether a replica's data is fresh enough for a read. The position must be proved if nodes do not check
     /// reads; if they do, an expected position is enough.
     pub(crate) fn is_fresh_enough(&self, now: Time, node: &Node, request: &Request) -> bool {
--- a/tests/session_writes.rs
+++ b/tests/session_writes.rs
@@ -93,3 +93,21 @@
         );
     }
 }
+
+/// Guards against stale reads of clients whose session the router does not know by name, but when it has last written.
+#[test]
+fn the_stated_age_of_the_last_write_counts_beside_the_remembered_one() {
+    let mut harness = Harness::new(settings_that_remember());
+    let now = harness.now;
+    for replica in ["r1", "r2"] {
+        report_position(&mut harness, replica, now - 100 * MS);
+    }
+    let read = |id, age| RequestInfo {
+        last_write_age: Some(age),
+        ..request_info(id, OWN_WRITES)
+    };
+    let to_primary = harness.send_request(read(1, 50 * MS));
+    assert_eq!(to_primary.as_deref(), Some("p"));
+    let to_replica = harness.send_request(read(2, 150 * MS));
+    assert_ne!(to_replica.as_deref(), Some("p"));
+}
