Front: nothing is begun for a client that has closed behind much unread

Cause: a close stands behind the bytes sent before it. At most 256 KiB were read behind the 16 requests in progress; when an answer made room, further requests were begun before anything more was read.

Evidence: nothing_is_begun_for_a_client_that_has_closed_behind_much_unread (60 and 200 requests of 32 KiB, 9,000 short ones) failed before with 60: one was begun 220 ms after the close. many_long_requests_that_come_at_once_are_all_served failed before too: of 200 requests of 32 KiB in progress the first was timed out while its client still sent.

Change: front/read_ahead.rs. The router reads on before it begins a request, long messages up to an eighth of the byte budget. While more waits unread for 50 ms, requests of that client are refused, which is harmless, until all is read or the close is found.

--- a/router/src/front/accept.rs
+++ b/router/src/front/accept.rs
@@ -5,6 +5,7 @@
 use super::eviction::{EvictionKind, MIN_TIME_BEYOND_LIMIT};
 use super::exchange::MAX_MESSAGE_BYTES;
 use super::listener::{Listener, ListenerConfig};
+use super::read_ahead::max_read_ahead_bytes;
 use super::shutdown::{FIRST_REQUEST_TIMEOUT_DRAINING, MESSAGE_TIMEOUT_DRAINING};
 use crate::net::stream::Stream;
 use crate::net::{EventSource, poll_key};
@@ -176,12 +177,14 @@
         let (poll, budget) = (&self.poll, &self.context.budget);
         let accepted = self.clients.insert_with(|key| {
             let key = poll_key(EventSource::Client, Some(key));
-            let max_unread = MAX_MESSAGE_BYTES + 8;
+            let max_read_ahead = max_read_ahead_bytes(budget);
+            let max_unread = max_read_ahead.max(MAX_MESSAGE_BYTES + 8);
             let stream = Stream::new(poll, budget, socket, key, Interest::Read, max_unread)?;
             let mut client = Client::new(stream, number, address, config, now);
             client.phase = phase;
             client.first_request_deadline = now + first_request_timeout;
             client.message_timeout = message_timeout;
+            client.max_read_ahead_bytes = max_read_ahead;
             Ok::<_, io::Error>(client)
         });
         let key = match accepted {
--- a/router/src/front/client.rs
+++ b/router/src/front/client.rs
@@ -5,6 +5,7 @@
 use super::eviction::{EvictionKind, EvictionRank};
 use super::listener::ListenerConfig;
 use super::memory_pressure::SkippedMessage;
+use super::read_ahead::CloseDetection;
 use crate::net::budget::{Budget, Buffer};
 use crate::net::stream::Stream;
 use crate::statement_labels::{Statement, code};
@@ -25,10 +26,6 @@
 const MAX_UNSENT_BYTES: usize = 256 * 1024;
 /// The same while the byte budget has little room: a client that does not read its answers is not read from.
 const MAX_UNSENT_BYTES_WITH_LITTLE_ROOM: usize = 1;
-/// Maximum number of bytes that are read ahead from one connection behind the next message: a few thousand queries of usual
-/// length. Reading ahead detects that the client has closed the connection, so that its waiting queries
-/// are not sent to nodes in vain. If a client sends more, its close is detected only once answers have made room.
-pub(super) const MAX_READ_AHEAD_BYTES: usize = 256 * 1024;
 /// Time for which answers may stay unread, in the router or in the system's socket buffer.
 const UNREAD_ANSWER_TIMEOUT: Micros = 2_500_000;
 /// Time between two checks whether the last answer to a lingering client has left the system's socket buffer.
@@ -127,6 +124,9 @@
     pub(super) skipped_message: Option<SkippedMessage>,
     /// Whether nothing more is read from the client, because the router shuts down.
     pub(super) is_input_closed: bool,
+    /// Maximum number of bytes that are read ahead.
+    pub(super) max_read_ahead_bytes: usize,
+    pub(super) close_detection: CloseDetection,
     pub(super) linger: Option<Linger>,
     /// Whether a sound request of the client has been received. On a listener with default labels, it is true from the login on.
     pub(super) has_requested: bool,
@@ -168,6 +168,8 @@
             message_timeout: 0,
             skipped_message: None,
             is_input_closed: false,
+            max_read_ahead_bytes: 0,
+            close_detection: CloseDetection::Sees,
             linger: None,
             has_requested: false,
             first_request_deadline: now,
@@ -210,9 +212,15 @@
         self.phase != Phase::Closing && (is_between_requests || is_finished)
     }
 
-    /// Returns the time at which the client is closed or checked, in its present state. It is `None` while requests are
-    /// pending, since the engine has deadlines for those.
+    /// Returns the time at which the client is closed or checked, in its present state.
     pub(super) fn deadline(&self, context: &Context) -> Option<Time> {
+        let deadlines = [self.session_deadline(context), self.refusal_time()];
+        deadlines.into_iter().flatten().min()
+    }
+
+    /// Returns the deadline of the session. It is `None` while requests are pending, since the engine has deadlines for
+    /// those.
+    fn session_deadline(&self, context: &Context) -> Option<Time> {
         if self.stream.unsent() > 0 {
             let give_up_at = self.last_progress_at + UNREAD_ANSWER_TIMEOUT;
             let shutdown_give_up_at = context
@@ -265,7 +273,8 @@
             true => MAX_UNSENT_BYTES_WITH_LITTLE_ROOM,
             false => MAX_UNSENT_BYTES,
         };
-        self.pending.len() < MAX_PIPELINED_QUERIES && self.stream.unsent() < max_unsent
+        let may_wait = self.pending.len() < MAX_PIPELINED_QUERIES || self.has_room_for_refusal();
+        may_wait && self.stream.unsent() < max_unsent
     }
 
     /// Returns true if the next message of the client may be processed.
@@ -275,16 +284,17 @@
 
     /// Returns true if the client's bytes are to be read: to process them, to drop them, or to detect its close.
     pub(super) fn wants_input(&self) -> bool {
-        let may_read_ahead = || {
-            let is_short = self.stream.unread().len() < MAX_READ_AHEAD_BYTES;
-            is_short && self.stream.may_read_ahead()
-        };
+        let may_read_ahead = || self.stream.may_read_ahead() && !self.has_read_far_ahead();
         let may_read = || !self.is_input_closed && (self.needs_input() || may_read_ahead());
         self.is_lingering() || may_read()
     }
 
     /// Queues an answer of the router's own.
     pub(super) fn queue_reply(&mut self, budget: &Budget, write: impl FnOnce(&mut Vec<u8>)) {
+        if let Some(previous) = self.waiting_refusals() {
+            previous.write(write);
+            return;
+        }
         let mut answer = budget.buffer();
         answer.write(write);
         self.pending.push_back(Pending {
@@ -330,6 +340,7 @@
         );
         self.phase = Phase::Closing;
         self.skipped_message = None;
+        self.close_detection = CloseDetection::Sees;
         self.linger = Some(Linger {
             check_at: until,
             give_up_at: until.max(now + UNREAD_ANSWER_TIMEOUT),
--- a/router/src/front/exchange.rs
+++ b/router/src/front/exchange.rs
@@ -1,7 +1,7 @@
 //! Reads a client's messages and writes its answers, in order and within bounds for one turn of the event loop.
 
 use super::Context;
-use super::client::{Client, MAX_READ_AHEAD_BYTES, Phase};
+use super::client::{Client, Phase};
 use crate::net::budget::Budget;
 use crate::net::stream::PeerState;
 use plovercove::Time;
@@ -34,7 +34,7 @@
         let peer = match self.skipped_message {
             Some(_) if self.is_input_closed => PeerState::Open,
             Some(_) => self.skip_received(context),
-            None => self.fill(),
+            None => self.fill(now),
         };
         if peer != PeerState::Open {
             let is_logging_in =
@@ -44,29 +44,6 @@
         peer
     }
 
-    /// Reads the bytes that have arrived, also those behind the messages that may be processed now. If a close were detected
-    /// only in the next turn, requests would be begun for a client that closed the connection while the event loop was busy.
-    fn fill(&mut self) -> PeerState {
-        // The bytes of a lingering client are dropped in `advance_linger`.
-        if self.is_lingering() {
-            return PeerState::Open;
-        }
-        while self.wants_input() {
-            let unread_before = self.stream.unread().len();
-            match self.stream.fill() {
-                PeerState::Open if self.stream.unread().len() > unread_before => {
-                    if self.stream.unread().len() >= MAX_READ_AHEAD_BYTES {
-                        break;
-                    }
-                }
-                // The bytes stay in the system's buffer until `relieve_memory` has made room, or drops this message.
-                PeerState::OverBudget => break,
-                peer => return peer,
-            }
-        }
-        PeerState::Open
-    }
-
     /// Queues the answers that are next in order, processes messages while there is room, and writes.
     ///
     /// # Errors
@@ -82,6 +59,7 @@
         let mut messages_left = MAX_MESSAGES_PER_TURN;
         loop {
             self.write_answers_in_order();
+            self.look_for_close(now)?;
             if messages_left > 0 && self.read_message(context, key, now, engine) {
                 self.last_progress_at = now;
                 self.message_began_at = None;
--- a/router/src/front/memory_pressure.rs
+++ b/router/src/front/memory_pressure.rs
@@ -7,8 +7,9 @@
 
 use super::Context;
 use super::Front;
-use super::client::{Client, MAX_READ_AHEAD_BYTES, Phase};
+use super::client::{Client, Phase};
 use super::exchange::MAX_MESSAGE_BYTES;
+use super::read_ahead::CloseDetection;
 use crate::net::budget::MIN_BUFFER_BYTES;
 use crate::net::stream::{MAX_CHUNKS_PER_CALL, PeerState};
 use plovercove_engine::Key;
@@ -61,8 +62,7 @@
     /// a bounded number of bytes is read, and none with little room in the budget.
     pub(super) fn needs_input(&self) -> bool {
         let has_work = || self.has_message_lengths() && self.has_whole_message();
-        let has_read_ahead = self.stream.unread().len() >= MAX_READ_AHEAD_BYTES;
-        let is_bounded = has_read_ahead || self.stream.has_little_room();
+        let is_bounded = self.stream.has_little_room() || self.has_read_far_ahead();
         self.may_begin_message() && !(is_bounded && has_work())
     }
 
@@ -85,7 +85,7 @@
     }
 
     /// Returns whether the next message starts with a type byte and its length.
-    fn has_message_lengths(&self) -> bool {
+    pub(super) fn has_message_lengths(&self) -> bool {
         let is_logged_in = matches!(self.phase, Phase::Ready | Phase::SkippingToSync);
         is_logged_in && self.version != Version::V2
     }
@@ -94,6 +94,8 @@
     /// ends then.
     fn drop_incomplete_message(&mut self, context: &Context) {
         let received = self.stream.unread().len();
+        // Its bytes are read as they arrive, and so is a close behind them.
+        self.close_detection = CloseDetection::Sees;
         let header = self.has_message_lengths().then(|| self.message_header());
         self.stream.consume(received);
         match header.flatten() {
--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -29,6 +29,7 @@
 mod login;
 mod memory_pressure;
 mod query;
+mod read_ahead;
 mod request_ids;
 mod shutdown;
 
@@ -185,6 +186,9 @@
             return;
         };
         client.next_check = None;
+        if client.refusal_time().is_some_and(|at| at <= now) {
+            return self.begin_refusing(key, now, engine);
+        }
         let Some(deadline) = client.deadline(&self.context) else {
             return;
         };
@@ -201,6 +205,18 @@
         }
     }
 
+    /// Refuses the requests of a client whose bytes have waited unread for too long, unless it turns out that it has closed.
+    fn begin_refusing(&mut self, key: Key, now: Time, engine: &mut Engine) {
+        let Some(client) = self.clients.get_mut(key) else {
+            return;
+        };
+        if let Err(peer) = client.look_for_close(now) {
+            return self.close(key, CloseReason::Peer(peer), engine);
+        }
+        self.mark(key);
+        self.reschedule(key, engine);
+    }
+
     /// Processes messages and writes answers of all marked clients.
     pub fn pump(&mut self, now: Time, engine: &mut Engine) {
         self.relieve_memory();
@@ -241,7 +257,7 @@
             client.may_begin_message() && !exchanged.has_more && client.has_partial_input();
         let began_at = client.message_began_at.unwrap_or(now);
         client.message_began_at = has_partial_message.then_some(began_at);
-        client.stream.set_read_interest(client.wants_input());
+        client.stream.set_read_interest(client.watches_input());
         let may_evict = self.context.is_draining() && client.may_close_for_shutdown();
         self.reschedule(key, engine);
         if exchanged.has_more {
--- a/router/src/front/query.rs
+++ b/router/src/front/query.rs
@@ -166,6 +166,10 @@
         let class_rules = &engine.classes()[class];
         let time_left = check_timeout(&labels, class_rules)?;
         let tenant = check_tenant(context, &labels)?;
+        if self.refuses_requests() {
+            let error = QueryError::by_router(code::TOO_MANY_CONNECTIONS, MEMORY_SPENT_TEXT);
+            return Err(error);
+        }
         // The list may not have arrived yet, or not name the group for a while.
         if !engine.knows_group(labels.group) {
             let text = format!("no db node of group {} is known", labels.group);
--- a/router/src/net/budget.rs
+++ b/router/src/net/budget.rs
@@ -51,6 +51,11 @@
         }))
     }
 
+    /// Returns the number of bytes of the whole budget.
+    pub fn limit(&self) -> usize {
+        self.0.limit
+    }
+
     /// Returns whether less than a quarter of the budget is left. That quarter is for complete requests and for replies:
     /// neither incomplete messages nor clients that do not read their answers may use it.
     pub fn has_little_room(&self) -> bool {
--- a/router/src/net/stream.rs
+++ b/router/src/net/stream.rs
@@ -10,6 +10,9 @@
 /// other connections.
 pub const MAX_CHUNKS_PER_CALL: usize = 4;
 
+/// The rest of the input is moved to the front of its buffer once more than one byte in this many is consumed.
+const MOVED_FRACTION: usize = 8;
+
 /// The system counts the end of a stream as one unsent byte.
 const END_OF_STREAM_BYTES: usize = 1;
 
@@ -38,6 +41,17 @@
     }
 }
 
+/// What waits in the system's buffer of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Peeked {
+    /// Nothing; the peer may send more.
+    Nothing,
+    /// Bytes that have not been read.
+    Bytes,
+    /// The end of the stream: the peer has closed or reset the connection.
+    End(PeerState),
+}
+
 /// A socket with its input and output buffers.
 pub struct Stream {
     socket: Registered<TcpStream>,
@@ -145,10 +159,12 @@
         &self.input[self.consumed..]
     }
 
-    /// Removes bytes from the front of the input.
+    /// Removes bytes from the front of the input. A long rest is moved only once a fair part of the buffer is free.
     pub fn consume(&mut self, count: usize) {
         self.consumed += count;
-        if self.consumed == self.input.len() || self.consumed > CHUNK_BYTES {
+        let worthwhile = CHUNK_BYTES.max(self.input.len() / MOVED_FRACTION);
+        let is_worth_moving = self.consumed > worthwhile;
+        if self.consumed == self.input.len() || is_worth_moving {
             let consumed = std::mem::take(&mut self.consumed);
             self.input.write(|input| drop(input.drain(..consumed)));
         }
@@ -213,7 +229,19 @@
 
     /// Returns whether an idle connection can be used: no bytes have arrived and the peer has not closed it.
     pub fn is_quiet(&self) -> bool {
-        let mut byte = [0];
-        matches!(self.socket.peek(&mut byte), Err(e) if e.kind() == ErrorKind::WouldBlock)
+        self.peek() == Peeked::Nothing
+    }
+
+    /// Returns what waits in the system's buffer, without reading it.
+    pub fn peek(&self) -> Peeked {
+        loop {
+            match self.socket.peek(&mut [0]) {
+                Ok(0) => return Peeked::End(PeerState::Closed),
+                Ok(_) => return Peeked::Bytes,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Peeked::Nothing,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return Peeked::End(PeerState::Reset),
+            }
+        }
     }
 }
--- a/router/tests/front_harness/mod.rs
+++ b/router/tests/front_harness/mod.rs
@@ -224,17 +224,29 @@
     /// Answers the attempt that was begun last with these messages.
     pub fn answer_last_attempt_with(&mut self, messages: &[u8]) {
         let (attempt, _) = self.begun_attempts.pop().expect("an attempt was begun");
+        assert!(self.answer_with(attempt, messages), "it is owed");
+    }
+
+    /// Answers an attempt, as a db node does. Its client may have gone.
+    pub fn answer(&mut self, attempt: AttemptId) {
+        self.answer_with(attempt, b"C\0\0\0\x0dSELECT 1\0");
+    }
+
+    /// Answers an attempt with these messages. Returns whether the answer is owed to a client.
+    fn answer_with(&mut self, attempt: AttemptId, messages: &[u8]) -> bool {
         self.engine.attempt_written(attempt);
         let report = NodeReport::default();
-        let origin = self
-            .engine
-            .attempt_ended(self.now, attempt, AttemptEnd::Success, report, report)
-            .expect("it is owed");
-        let mut reply = self.budget.buffer();
-        reply.write(|out| out.extend_from_slice(messages));
-        self.front
-            .send_reply(origin, attempt.request, reply, self.now);
+        let origin =
+            self.engine
+                .attempt_ended(self.now, attempt, AttemptEnd::Success, report, report);
+        if let Some(origin) = origin {
+            let mut reply = self.budget.buffer();
+            reply.write(|out| out.extend_from_slice(messages));
+            self.front
+                .send_reply(origin, attempt.request, reply, self.now);
+        }
         self.run_turn();
+        origin.is_some()
     }
 
     /// Rejects the attempt that was begun last, as an overloaded db node does. No turn is run, so that the request is between
@@ -351,6 +363,13 @@
         self.stream.write_all(bytes).expect("it is connected");
     }
 
+    /// Sends bytes, also more than the system accepts before the router reads.
+    pub fn send_all(&mut self, bytes: &[u8]) {
+        self.stream.set_nonblocking(false).expect("waiting");
+        self.stream.write_all(bytes).expect("it is connected");
+        self.stream.set_nonblocking(true).expect("no waiting");
+    }
+
     /// Shuts down the client's side of the connection, and waits until the router's system has received that.
     pub fn shut_down_write(&mut self) {
         self.stream
