Startup: only 64 parameters of a first packet are kept

Callers would see: a router killed for memory. A first packet of 10,000 bytes holds 2,400 short parameters, each was kept in two allocations, outside the byte budget, until the login was complete; hundreds of clients may hang there at listeners with logins.

Evidence: of_very_many_parameters_only_a_few_are_kept failed before (2,400 were kept). The kill itself was not played.

Change: 64 at most; where everyone is trusted the rest is ignored, as what cannot be read there was before, elsewhere the packet is malformed.

--- a/pgwire/src/startup.rs
+++ b/pgwire/src/startup.rs
@@ -13,6 +13,8 @@
 const GSSENC_REQUEST: u32 = 80_877_104;
 /// Maximum length of the first packet.
 const MAX_FIRST_PACKET_BYTES: usize = 10_000;
+/// Maximum number of parameters in the first packet. Each is kept until the login is complete, and needs many times its length.
+const MAX_PARAMETERS: usize = 64;
 /// Maximum length of a message during the login.
 const MAX_LOGIN_MESSAGE_BYTES: usize = 2_048;
 /// Widths of the text fields of a startup packet of version 2.0, which follow its length and version: database, user,
@@ -299,10 +301,10 @@
         Ok(Step::UserNamed)
     }
 
-    /// Reads pairs of name and value up to an empty name. With `lenient`, the first parameter that cannot be read and all that
-    /// follow it are ignored, instead of returning an error.
+    /// Reads pairs of name and value up to an empty name. With `lenient`, the first parameter that cannot be read or is one too
+    /// many and all that follow it are ignored, instead of returning an error.
     fn read_parameters(&mut self, mut fields: Fields<'_>, lenient: bool) -> Result<(), Malformed> {
-        loop {
+        for _ in 0..=MAX_PARAMETERS {
             let name = match fields.utf8() {
                 Ok("") => return if lenient { Ok(()) } else { fields.end() },
                 Ok(name) => name,
@@ -321,6 +323,7 @@
                 _ => self.parameters.push((name.to_string(), value)),
             }
         }
+        if lenient { Ok(()) } else { Err(Malformed) }
     }
 
     /// Starts the authentication of the user, or skips it if the rules trust everyone. `verifier` is `None` if the user does
--- a/pgwire/tests/logins.rs
+++ b/pgwire/tests/logins.rs
@@ -517,3 +517,22 @@
         assert!(taken <= cut && !reply.has_outcome(), "cut at {cut}");
     }
 }
+
+/// Guards against a router that is killed for its memory by clients that send very many parameters and don't complete their login.
+#[test]
+fn of_very_many_parameters_only_a_few_are_kept() {
+    let parameters: Vec<u8> = (0..2_400).flat_map(|_| *b"a\0b\0").collect();
+    let body = [&[0, 3, 0, 0][..], b"user\0me\0", &parameters, b"\0"].concat();
+    let packet = [&(body.len() as u32 + 4).to_be_bytes()[..], &body].concat();
+    let mut startup = Startup::default();
+    let read = startup.read_message(&rules(&[Method::Trust]), &packet, "", &mut Vec::new());
+    assert_eq!(read, Ok(Some((packet.len(), Step::UserNamed))));
+    assert!(
+        startup.parameters().len() <= 64,
+        "{}",
+        startup.parameters().len()
+    );
+    let mut startup = Startup::default();
+    let read = startup.read_message(&rules(&[Method::Scram]), &packet, "", &mut Vec::new());
+    assert!(read.is_err(), "{read:?}");
+}
