Statements: one with very many words is rejected instead of classified

Callers would see: a router killed for memory by one statement at an additional listener. The tokenizer needs some hundred bytes for each word, sign or blank, and a statement may have 4 MiB.

Evidence: by reading (statement::classify tokenizes the whole text); the kill was not played. a_statement_with_very_many_words_is_not_classified asks for the new verdict, so it does not build before.

Change: a statement of over 100,000 words, signs and blanks gets 54001. Literals count as if their words stood in the statement, since only the tokenizer knows where they end; a literal of 64 KiB is always below.

--- a/pgwire/src/messages.rs
+++ b/pgwire/src/messages.rs
@@ -43,6 +43,8 @@
     pub const READ_ONLY_TRANSACTION: &str = "25006";
     /// A read was sent to a db node whose position is too old.
     pub const SNAPSHOT_TOO_OLD: &str = "72000";
+    /// The statement has too many words.
+    pub const STATEMENT_TOO_COMPLEX: &str = "54001";
     /// The request was cancelled by a cancel request.
     pub const QUERY_CANCELED: &str = "57014";
     /// The authentication failed: the password or the proof is wrong, or the user does not exist.
--- a/pgwire/src/statement.rs
+++ b/pgwire/src/statement.rs
@@ -20,6 +20,26 @@
     Setting(String, Option<String>),
     /// The statement needs an exclusive session with one server, for this feature.
     NeedsSession(&'static str),
+    /// The statement has too many words to be classified.
+    TooManyWords,
+}
+
+/// Maximum number of words and signs of a statement that is classified. Each needs about a hundred bytes for that time. A text
+/// literal of 64 KiB is below it, whatever it holds.
+const MAX_TOKENS: usize = 100_000;
+
+/// Returns whether a text may have more tokens than are classified. Literals count as if their words stood in the statement, since
+/// only the tokenizer knows where a literal ends.
+fn may_exceed_max_tokens(text: &str) -> bool {
+    let is_word = |byte: u8| byte.is_ascii_alphanumeric() || byte == b'_' || !byte.is_ascii();
+    let mut tokens = 0;
+    let mut was_word = false;
+    for byte in text.bytes() {
+        let continues_word = was_word && is_word(byte);
+        tokens += usize::from(!continues_word);
+        was_word = is_word(byte);
+    }
+    tokens > MAX_TOKENS
 }
 
 /// Returns the words of a statement in upper case, with `"` in place of a quoted name, and `(` for each opening parenthesis.
@@ -183,6 +203,9 @@
 /// Classifies a query, which may consist of several statements. A query that cannot be tokenized counts as a write, so that
 /// the primary reports the error.
 pub fn classify(text: &str) -> Kind {
+    if may_exceed_max_tokens(text) {
+        return Kind::TooManyWords;
+    }
     let Ok(tokens) = Tokenizer::new(&PostgreSqlDialect {}, text).tokenize() else {
         return Kind::Write;
     };
--- a/pgwire/src/statement/tests.rs
+++ b/pgwire/src/statement/tests.rs
@@ -99,3 +99,15 @@
         );
     }
 }
+
+/// Guards against a router that is killed for its memory, since each word needs many times its length while it is classified.
+#[test]
+fn a_statement_with_very_many_words_is_not_classified() {
+    for words in ["a ", " ", ",", "';--"] {
+        assert_eq!(classify(&words.repeat(2_000_000)), Kind::TooManyWords);
+    }
+    let literal = "x ".repeat(32 * 1024);
+    assert_eq!(classify(&format!("SELECT '{literal}'")), Kind::Read);
+    let digits = "9f".repeat(2_000_000);
+    assert_eq!(classify(&format!("SELECT '\\x{digits}'")), Kind::Read);
+}
--- a/router/src/front/query.rs
+++ b/router/src/front/query.rs
@@ -103,6 +103,10 @@
                 );
                 self.reply_error(budget, code::FEATURE_NOT_SUPPORTED, &text);
             }
+            Kind::TooManyWords => {
+                let text = "the statement has too many words";
+                self.reply_error(&context.budget, code::STATEMENT_TOO_COMPLEX, text);
+            }
             Kind::Read | Kind::Write => {
                 let id = context.id_generator.next();
                 let listener = &context.listeners[self.listener];
