Labels: few of them, and errors quote little of what a client sent

Callers saw: while clients sent comments with 100,000 labels, usual requests got no answer within their time. While 400 clients sent 1 MiB of control characters as a label or a class, waits of usual requests grew to 0.51 s.

Cause: read_labels compared each name with all before it, so that one statement of 4 MiB held the loop for minutes by arithmetic. Error texts quoted up to 4 MiB, written as up to six times as much, in the reply and in its buffer.

Change: a statement has 32 labels at most, and errors quote 64 bytes at most.

--- a/pgwire/src/lib.rs
+++ b/pgwire/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod catalogue;
 pub mod encoder;
 mod error;
+mod excerpt;
 pub mod login;
 pub mod login_rate_limit;
 pub mod messages;
@@ -34,6 +35,7 @@
 pub mod verifier;
 
 pub use error::Error;
+pub use excerpt::excerpt;
 use serde::{Deserialize, Serialize};
 
 /// A version of the protocol, which a client requests in its first packet.
--- a/pgwire/src/session.rs
+++ b/pgwire/src/session.rs
@@ -1,8 +1,8 @@
 //! Settings of a client's session. The router keeps them itself, since connections to servers are shared between clients.
 
-use crate::SqlError;
 use crate::messages::code;
 use crate::values::{Bytea, DateFormat, ValueFormats};
+use crate::{SqlError, excerpt};
 
 /// Settings that do not affect what clients receive; the router accepts and ignores them.
 const IGNORED_SETTINGS: [&str; 9] = [
@@ -54,11 +54,12 @@
         value: Option<&str>,
     ) -> Result<Option<(&'static str, String)>, SqlError> {
         let name = name.to_ascii_lowercase();
+        let shown_name = excerpt(&name);
         let value = value.filter(|v| !v.eq_ignore_ascii_case("default"));
         let invalid_value = |value: &str| {
             SqlError::new(
                 code::INVALID_PARAMETER_VALUE,
-                format!("{name}: {value:?} is no value for it"),
+                format!("{shown_name}: {:?} is no value for it", excerpt(value)),
             )
         };
         match name.as_str() {
@@ -108,12 +109,12 @@
                 Some((_, fixed)) if value.is_none_or(|v| is_same_setting(v, fixed)) => Ok(None),
                 Some((_, fixed)) => Err(SqlError::new(
                     code::FEATURE_NOT_SUPPORTED,
-                    format!("{name}: only {fixed} is offered here"),
+                    format!("{shown_name}: only {fixed} is offered here"),
                 )),
                 None => Err(SqlError::new(
                     code::FEATURE_NOT_SUPPORTED,
                     format!(
-                        "SET {name} needs a session of its own with one server, which this listener does not give"
+                        "SET {shown_name} needs a session of its own with one server, which this listener does not give"
                     ),
                 )),
             },
--- a/router/src/front/query.rs
+++ b/router/src/front/query.rs
@@ -7,11 +7,11 @@
 use crate::statement_labels::{self, Labels, Statement};
 use plovercove::{Access, Class, Micros, RequestInfo, Time};
 use plovercove_engine::{Engine, Key};
-use plovercove_pgwire::SqlError;
 use plovercove_pgwire::messages::{self, code};
 use plovercove_pgwire::reply::Shape;
 use plovercove_pgwire::statement::{self, Kind};
 use std::rc::Rc;
+use plovercove_pgwire::{SqlError, excerpt};
 use tracing::debug;
 
 /// Maximum timeout that a client may set, as a multiple of the deadline of its class; a higher one is rejected.
@@ -164,7 +164,7 @@
         let labels = statement_labels::read_labels(text)
             .map_err(|error| QueryError::by_client(code::PROTOCOL_VIOLATION, error.to_string()))?;
         let Some(class) = context.names.class(labels.class) else {
-            let text = format!("class {:?} does not exist", labels.class);
+            let text = format!("class {:?} does not exist", excerpt(labels.class));
             return Err(QueryError::by_client(code::UNDEFINED_OBJECT, text));
         };
         let class_rules = &engine.classes()[class];
@@ -267,7 +267,7 @@
     match context.names.tenant(name) {
         Some(number) => Ok(Some(number)),
         None => {
-            let text = format!("tenant {name:?} does not exist");
+            let text = format!("tenant {:?} does not exist", excerpt(name));
             Err(QueryError::by_client(code::UNDEFINED_OBJECT, text))
         }
     }
--- a/router/src/statement_labels.rs
+++ b/router/src/statement_labels.rs
@@ -2,6 +2,7 @@
 //! `plovercove-pgwire`.
 
 use crate::net::budget::Reservation;
+use plovercove_pgwire::excerpt;
 pub use plovercove_pgwire::messages::*;
 use plovercove_pgwire::reply::Shape;
 use std::ops::Range;
@@ -9,6 +10,9 @@
 /// Bytes of a query message besides its text: its type, its length and a zero byte.
 const QUERY_OVERHEAD_BYTES: usize = 6;
 
+/// Maximum number of labels of a statement. Clients send at most seven; the names are compared with each other.
+const MAX_LABELS: usize = 32;
+
 /// A query of a client. It is forwarded unchanged, except for the timeout in its labels.
 pub struct Statement {
     text: String,
@@ -67,6 +71,9 @@
     /// A label is given twice.
     #[error("{0} is told twice")]
     Twice(&'a str),
+    /// There are more labels than any client needs.
+    #[error("there are more than {MAX_LABELS} labels")]
+    TooMany,
     /// The request ID is malformed.
     #[error("id: expected letters and digits")]
     Id,
@@ -90,6 +97,7 @@
             Mislabelled::Twice(_) => {
                 "have the client, or the library between, write each label once"
             }
+            Mislabelled::TooMany => "have the client write no other labels than the router knows",
             Mislabelled::Id => {
                 "have the client name each request with 1 to 64 letters, digits, - and _"
             }
@@ -114,7 +122,9 @@
     let (mut id, mut class, mut group, mut timeout_ms) = (None, None, None, None);
     let mut seen_names: Vec<&str> = Vec::new();
     for part in comment.split(',') {
-        let (name, value) = part.split_once('=').ok_or(Mislabelled::NoPair(part))?;
+        let (name, value) = part
+            .split_once('=')
+            .ok_or(Mislabelled::NoPair(excerpt(part)))?;
         let name_length = name.len();
         let (name, trimmed_value) = (name.trim(), value.trim());
         let number = || {
@@ -123,12 +133,15 @@
                 .and_then(|v| v.parse::<u64>().ok())
                 .ok_or(Mislabelled::NoNumber {
                     name,
-                    value: trimmed_value,
+                    value: excerpt(trimmed_value),
                 })
         };
+        if seen_names.len() >= MAX_LABELS {
+            return Err(Mislabelled::TooMany);
+        }
         // A duplicate label is rejected, because the db node could use the other value than the router.
         if seen_names.contains(&name) {
-            return Err(Mislabelled::Twice(name));
+            return Err(Mislabelled::Twice(excerpt(name)));
         }
         seen_names.push(name);
         match name {
--- a/router/src/statement_labels/tests.rs
+++ b/router/src/statement_labels/tests.rs
@@ -22,6 +22,23 @@
     assert_eq!(out, want);
 }
 
+/// Guards against turns of seconds: each name was compared with all before it.
+#[test]
+fn very_many_labels_are_rejected_at_once() {
+    let labels: String = (0..300_000).map(|number| format!("a{number}=,")).collect();
+    let began_at = std::time::Instant::now();
+    let text = format!("/* {labels}id=1,c=a,d=5,cluster=1 */ SELECT 1");
+    assert_eq!(read_labels(&text), Err(Mislabelled::TooMany));
+    assert!(
+        began_at.elapsed().as_millis() < 100,
+        "{:?}",
+        began_at.elapsed()
+    );
+    let few: String = (0..25).map(|number| format!("a{number}=,")).collect();
+    let text = format!("/* {few}id=1,c=a,d=5,cluster=1 */ SELECT 1");
+    assert!(read_labels(&text).is_ok());
+}
+
 #[test]
 fn faults_in_comments_are_named_and_nothing_panics() {
     for (text, complaint) in [
--- a/router/tests/errors.rs
+++ b/router/tests/errors.rs
@@ -191,6 +191,8 @@
 }
 
 fn produce_label_errors(all: &mut Vec<Produced>) {
+    let many_labels: String = (0..40).map(|number| format!("a{number}=,")).collect();
+    let many_labels = format!("/* {many_labels}id=1 */");
     for text in [
         "SELECT 1",
         "/* id=1",
@@ -199,6 +201,7 @@
         "/* id=1,id=2 */",
         "/* id=a b */",
         "/* c=a,cluster=1,d=5 */",
+        &many_labels,
     ] {
         let fault = statement_labels::read_labels(text).expect_err(text);
         all.push(produce("labels", &fault, fault.help()));
