Request ids: those that must not run twice are never forgotten early

Reported by other operators: an id ran twice when it came again after its client had left.

Cause: RecentIds remembered 65,536 ids in a generation and began the next one early if there were more, so that two generations of other requests pushed out a booking's id within its time.

Evidence: on the old code alone, a booking's id was taken for new behind 400,000 others (a scratch test, failed). With the router as a process an id that came again ran once, before and after: a client at full speed sends 97,000 to 110,000 requests in 3 s there, too few for the 4 s for which that test's ids are remembered.

The id of a rejected request is forgotten.

Result: the three tests of request_ids and standing_hostile_clients hold.

--- a/router/src/front/answers.rs
+++ b/router/src/front/answers.rs
@@ -65,6 +65,9 @@
         let Some(encoder) = self.clients.get(origin).map(Client::encoder) else {
             return;
         };
+        if matches!(answer, FinalAnswer::Rejected(_)) {
+            self.forget_id(origin, request);
+        }
         let mut encoded = self.context.budget.buffer();
         encoded.write(|out| match answer {
             FinalAnswer::Rejected(retry_after) => {
@@ -80,6 +83,16 @@
         self.queue_answer(origin, request, encoded);
     }
 
+    /// Forgets the id of a rejected request: it may come again.
+    fn forget_id(&mut self, origin: Key, request: Key) {
+        let pending = self.clients.get(origin).map(|client| &client.pending);
+        let mut rejected = pending.into_iter().flatten().filter(|p| p.is_for(request));
+        let forwarded = rejected.next().and_then(|pending| pending.request.as_ref());
+        if let Some(forwarded) = forwarded {
+            self.context.recent_ids.forget(forwarded.id);
+        }
+    }
+
     fn queue_answer(&mut self, origin: Key, request: Key, mut answer: Buffer) {
         let Some(client) = self.clients.get_mut(origin) else {
             return;
--- a/router/src/front/client.rs
+++ b/router/src/front/client.rs
@@ -6,6 +6,7 @@
 use super::listener::ListenerConfig;
 use super::memory_pressure::SkippedMessage;
 use super::read_ahead::CloseDetection;
+use super::request_ids::RememberedId;
 use crate::net::budget::{Budget, Buffer};
 use crate::net::stream::Stream;
 use crate::statement_labels::{Statement, code};
@@ -60,6 +61,7 @@
     pub(super) request: Key,
     pub(super) statement: Rc<Statement>,
     pub(super) is_write: bool,
+    pub(super) id: RememberedId,
 }
 
 /// A pending answer to a client. Answers are sent in the order of the requests.
--- a/router/src/front/query.rs
+++ b/router/src/front/query.rs
@@ -3,6 +3,7 @@
 use super::Context;
 use super::client::{Client, ForwardedRequest, Pending};
 use super::memory_pressure::MEMORY_SPENT_TEXT;
+use super::request_ids::IdFault;
 use crate::clock;
 use crate::statement_labels::{self, Labels, Statement};
 use plovercove::{Access, Class, Micros, RequestInfo, Time};
@@ -10,13 +11,16 @@
 use plovercove_pgwire::messages::{self, code};
 use plovercove_pgwire::reply::Shape;
 use plovercove_pgwire::statement::{self, Kind};
-use std::rc::Rc;
 use plovercove_pgwire::{SqlError, excerpt};
+use std::rc::Rc;
 use tracing::debug;
 
 /// Maximum timeout that a client may set, as a multiple of the deadline of its class; a higher one is rejected.
 pub(super) const MAX_TIMEOUT_DEADLINES: u64 = 4;
 
+/// Error text for a request whose id cannot be remembered.
+const IDS_SPENT_TEXT: &str = "too many requests came that must not run twice";
+
 /// Commands that drivers send without the application's request. On a listener without default labels the router answers
 /// them itself, without any effect; they would have none at the nodes either.
 const COMMANDS_WITHOUT_EFFECT: [&str; 3] = ["SET", "RESET", "DISCARD"];
@@ -183,10 +187,20 @@
             let error = QueryError::by_router(code::TOO_MANY_CONNECTIONS, MEMORY_SPENT_TEXT);
             return Err(error);
         };
-        if !context.recent_ids.insert_if_new(labels.id, now) {
-            let text = format!("id: {} is another request's", labels.id);
-            return Err(QueryError::by_client(code::PROTOCOL_VIOLATION, text));
-        }
+        let id = match context
+            .recent_ids
+            .insert(labels.id, class_rules.idempotency, now)
+        {
+            Ok(id) => id,
+            Err(IdFault::Repeated) => {
+                let text = format!("id: {} is another request's", labels.id);
+                return Err(QueryError::by_client(code::PROTOCOL_VIOLATION, text));
+            }
+            Err(IdFault::Full) => {
+                let error = QueryError::by_router(code::TOO_MANY_CONNECTIONS, IDS_SPENT_TEXT);
+                return Err(error);
+            }
+        };
         let access = class_rules.access;
         let wants_labels = context.listeners[self.listener].wants_labels();
         let has_session = matches!(access, Access::Write | Access::OwnWrites);
@@ -216,6 +230,7 @@
         Ok(ForwardedRequest {
             statement: Rc::new(statement.with_reservation(reservation)),
             is_write: access == Access::Write,
+            id,
             request,
         })
     }
--- a/router/tests/standing_hostile_clients.rs
+++ b/router/tests/standing_hostile_clients.rs
@@ -264,21 +264,36 @@
     }
 }
 
-/// Guards against a request that runs twice because others' ids have pushed its own out of memory.
+fn count_runs(fleet: &Fleet, id: &str) -> usize {
+    let runs = fleet
+        .nodes
+        .iter()
+        .filter_map(|node| node.ran().get(id).copied());
+    runs.sum()
+}
+
+/// Guards against a request that runs twice when its id comes again after its client has left, also behind a flood of others.
 #[test]
 fn an_id_that_comes_again_after_its_client_has_left_runs_once() {
     let fleet = start_fleet("hostile-ids");
     let listen = fleet.router.listen();
-    let fate = ask(&mut RequestClient::new(listen), "twice", "book");
+    let fate = ask(&mut RequestClient::new(listen), "served", "book");
     assert_eq!(fate, RequestOutcome::Served);
+    let mut leaving = TcpStream::connect(listen).expect("it listens");
+    let booking = [STARTUP, &message(&statement("left", "book"))].concat();
+    leaving.write_all(&booking).expect("it is connected");
+    let give_up_at = Instant::now() + TEST_TIMEOUT;
+    while count_runs(&fleet, "left") == 0 {
+        assert!(Instant::now() < give_up_at, "the booking runs");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    drop(leaving);
     assert_harmless("ids", &fleet, |listen| {
         flood(listen, |n| message(&statement(&format!("i{n}"), "look")));
     });
-    let fate = ask(&mut RequestClient::new(listen), "twice", "book");
-    assert_ne!(fate, RequestOutcome::Served, "the id is known");
-    let runs = fleet
-        .nodes
-        .iter()
-        .filter_map(|node| node.ran().get("twice").copied());
-    assert_eq!(runs.sum::<usize>(), 1);
+    for id in ["served", "left"] {
+        let fate = ask(&mut RequestClient::new(listen), id, "book");
+        assert_ne!(fate, RequestOutcome::Served, "{id}: the id is known");
+        assert_eq!(count_runs(&fleet, id), 1, "{id}");
+    }
 }
