Sessions: the table of their writes is bounded, and names are kept as hashes

Callers would see: a router killed for memory where routers remember sessions' writes. Nothing was forgotten while one listed node had told no position (applied_everywhere was 0), and names, up to a whole statement long, were kept beside the byte budget, also with each node's last 15 reads (RecentReads).

The test asks for the number of remembered sessions, which could not be asked before.

Change: beyond 65,536 sessions the older half is summed up in the newest forgotten commit, which every session without an entry needs. Sessions are identified by a 64-bit hash; equal hashes would make a read wait for another session's write, never miss its own.

Result: 200,000 sessions beside a silent node leave at most 65,536 entries, and no read of a session goes to a replica without its write.

--- a/simulation/src/world.rs
+++ b/simulation/src/world.rs
@@ -20,14 +20,15 @@
 use crate::rules::{Breaches, Rule};
 use crate::spec::{Spec, SpecError, layout};
 use hdrhistogram::Histogram;
-use plovercove::{AttemptEnd, Endpoint, EndpointState, Micros, NodeId, NodeReport, Settings, Time};
+use plovercove::{
+    AttemptEnd, Endpoint, EndpointState, Micros, NodeId, NodeReport, SessionId, Settings, Time,
+};
 use plovercove_engine::{AttemptId, Backoff, Engine, Key};
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, LogNormal, Normal};
 use slab::Slab;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
-use std::sync::Arc;
 
 /// Virtual time starts at this value, so that no computed time is before zero.
 const START_TIME: Time = 1_000_000_000;
@@ -247,7 +248,7 @@
     /// When the list service has answered all queued calls.
     list_busy_until: Time,
     nodes_of_fault: Vec<Vec<u32>>,
-    sessions: Vec<Vec<Arc<str>>>,
+    sessions: Vec<Vec<SessionId>>,
     settings: Vec<Settings>,
     shares: Vec<f64>,
     /// Cumulative traffic shares of the groups, see [`group_draw_bounds`].
@@ -423,7 +424,7 @@
             name: name.clone(),
             ..ServedShare::default()
         };
-        let session = |g: usize, s: usize| Arc::from(format!("u{g}-{s}"));
+        let session = |g: usize, s: usize| SessionId::from(format!("u{g}-{s}"));
         let seconds = spec.seconds.ceil() as usize + 1;
         let group_draw_bounds = group_draw_bounds(groups.len(), spec.clients.group_skew);
         let mut world = World {
--- a/simulation/src/world/clients.rs
+++ b/simulation/src/world/clients.rs
@@ -148,7 +148,7 @@
         let info = RequestInfo {
             class,
             tenant: r.tenant,
-            session: keyed.then(|| self.sessions[r.group as usize][r.session as usize].clone()),
+            session: keyed.then(|| self.sessions[r.group as usize][r.session as usize]),
             time_left: left,
             group: u64::from(r.group) + 1,
             last_write_age: r.required_position.map(|at| self.now - at),
--- a/simulator-adapter/src/read.rs
+++ b/simulator-adapter/src/read.rs
@@ -204,7 +204,7 @@
                 session: f
                     .optional(3, "Sess", text)?
                     .filter(|s| !s.is_empty())
-                    .map(Arc::from),
+                    .map(SessionId::from),
                 time_left: f.get(4, "Left", unsigned)?,
                 cost_hint: f
                     .optional(5, "Expected", unsigned)?
--- a/src/api/event.rs
+++ b/src/api/event.rs
@@ -1,7 +1,8 @@
 //! The events that the router reports to the decisions, one batch for each turn of its event loop.
 
-use super::{AttemptEnd, EndpointUpdate, GroupId, Micros, NodeId, NodeReport, RequestId, Time};
-use std::sync::Arc;
+use super::{
+    AttemptEnd, EndpointUpdate, GroupId, Micros, NodeId, NodeReport, RequestId, SessionId, Time,
+};
 
 /// A request from a client.
 #[derive(Clone, Debug, Default)]
@@ -13,7 +14,7 @@
     /// Index of its tenant in the settings.
     pub tenant: Option<usize>,
     /// Its session, if it has one.
-    pub session: Option<Arc<str>>,
+    pub session: Option<SessionId>,
     /// Time that the client still waits for an answer.
     pub time_left: Micros,
     /// Expected work on a standard core, if the client states it.
--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -7,6 +7,7 @@
 mod endpoint;
 mod event;
 mod locality_policy;
+mod session;
 mod settings;
 mod time;
 
@@ -15,5 +16,6 @@
 pub use endpoint::*;
 pub use event::*;
 pub use locality_policy::*;
+pub use session::*;
 pub use settings::*;
 pub use time::*;
--- a/src/attempt_outcome.rs
+++ b/src/attempt_outcome.rs
@@ -299,7 +299,7 @@
         if !observation.is_write || self.settings.clients_carry_tokens {
             return;
         }
-        let Some(session) = self.requests[&request].info.session.clone() else {
+        let Some(session) = self.requests[&request].info.session else {
             return;
         };
         let committed_at = answer.position.unwrap_or(self.now);
--- a/src/freshness.rs
+++ b/src/freshness.rs
@@ -5,19 +5,22 @@
 //! themselves, the router may extrapolate a position, and a mistake costs one attempt. If they do not, only a reported
 //! position counts.
 
-use crate::api::{Access, Micros, NodeId, ReplicaCheck, RequestId, RequestInfo, Settings, Time};
+use crate::api::{
+    Access, Micros, NodeId, ReplicaCheck, RequestId, RequestInfo, SessionId, Settings, Time,
+};
 use crate::balancer::Balancer;
 use crate::node::Node;
 use crate::request::Request;
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
 /// Maximum rounding error of the age of a session's last write, as the client states it.
 const TOKEN_ROUNDING: Micros = 1_000;
 /// Age beyond which data is of use only to reads that accept data of any age, if no class has bounded staleness.
 const DEFAULT_STALE_AGE: Micros = 1_000_000;
-/// The table of sessions' writes is pruned whenever its size is a multiple of this.
-const PRUNE_EVERY_SESSIONS: usize = 1_024;
+/// The table of sessions' writes is pruned when it has doubled since the last time, from this size on.
+const MIN_SESSIONS_TO_PRUNE: usize = 1_024;
+/// Maximum number of sessions whose writes are remembered.
+const MAX_SESSIONS: usize = 65_536;
 
 /// The position up to which a node has applied the primary's log, as far as this router knows.
 #[derive(Clone, Copy, Debug)]
@@ -75,34 +78,57 @@
 
 /// The last write of each session. It is used if clients carry no session tokens.
 ///
-/// Entries are forgotten once all open nodes have applied them. A node that joins later may have older data, so the newest
-/// forgotten commit is kept: a session without an entry may have written up to it.
+/// Entries are forgotten once all open nodes have applied them, and the oldest ones also if there are too many. A node that
+/// joins later may have older data, so the newest forgotten commit is kept: a session without an entry may have written up
+/// to it.
 #[derive(Debug, Default)]
 pub(crate) struct SessionWrites {
-    committed_at: BTreeMap<Arc<str>, Time>,
+    committed_at: BTreeMap<SessionId, Time>,
     newest_forgotten: Option<Time>,
+    /// Number of entries at which the table is pruned next, unless it is below [`MIN_SESSIONS_TO_PRUNE`].
+    prune_at: usize,
 }
 
 impl SessionWrites {
     /// Returns the position up to which a session may have written, or `None` if it has certainly not written.
-    fn last_write_of(&self, session: &str) -> Option<Time> {
-        let remembered = self.committed_at.get(session).copied();
+    fn last_write_of(&self, session: SessionId) -> Option<Time> {
+        let remembered = self.committed_at.get(&session).copied();
         remembered.max(self.newest_forgotten)
     }
 
+    pub(crate) fn len(&self) -> usize {
+        self.committed_at.len()
+    }
+
     /// Records the position of a session's write. `applied_everywhere` returns the position that all open nodes have
     /// applied: writes up to it are forgotten when the table is pruned.
     pub(crate) fn remember(
         &mut self,
-        session: Arc<str>,
+        session: SessionId,
         committed_at: Time,
         applied_everywhere: impl FnOnce() -> Option<Time>,
     ) {
         let last = self.committed_at.entry(session).or_default();
         *last = committed_at.max(*last);
-        if self.committed_at.len().is_multiple_of(PRUNE_EVERY_SESSIONS) {
-            self.forget_up_to(applied_everywhere());
+        if self.committed_at.len() >= self.prune_at.max(MIN_SESSIONS_TO_PRUNE) {
+            self.prune(applied_everywhere());
+        }
+    }
+
+    fn prune(&mut self, applied_everywhere: Option<Time>) {
+        self.forget_up_to(applied_everywhere);
+        // A node that has told no position must not keep every entry.
+        if self.committed_at.len() > MAX_SESSIONS / 2 {
+            self.forget_older_half();
         }
+        self.prune_at = 2 * self.committed_at.len();
+    }
+
+    fn forget_older_half(&mut self) {
+        let mut commits: Vec<Time> = self.committed_at.values().copied().collect();
+        let middle = commits.len() / 2;
+        let (_, median, _) = commits.select_nth_unstable(middle);
+        self.forget_up_to(Some(*median));
     }
 
     fn forget_up_to(&mut self, position: Option<Time>) {
@@ -133,10 +159,14 @@
         }
     }
 
+    /// Returns the number of sessions whose writes are remembered.
+    pub fn remembered_session_count(&self) -> usize {
+        self.session_writes.len()
+    }
+
     /// Returns the position up to which the request's session may have written, if the router remembers sessions' writes.
     fn remembered_write(&self, info: &RequestInfo) -> Option<Time> {
-        let session = info.session.as_ref()?;
-        self.session_writes.last_write_of(session)
+        self.session_writes.last_write_of(info.session?)
     }
 
     /// Returns whether a replica's data is fresh enough for a read. The position must be proved if nodes do not check
--- a/src/replica_selection.rs
+++ b/src/replica_selection.rs
@@ -8,12 +8,11 @@
 //! **Why was this read sent to the primary?** See [`Balancer::select_replica`]: no replica is fresh enough, or the
 //! fresh replicas have no room and the primary has.
 
-use crate::api::{Access, Micros, ReplicaCheck, RequestInfo, WeightMeaning};
+use crate::api::{Access, Micros, ReplicaCheck, RequestInfo, SessionId, WeightMeaning};
 use crate::balancer::Balancer;
 use crate::node::Node;
 use crate::request::Request;
 use std::collections::VecDeque;
-use std::sync::Arc;
 
 /// Number of recent reads kept for each node (n in the paper).
 const RECENT_READS: usize = 15;
@@ -43,7 +42,7 @@
 /// A read that a node has recently served.
 #[derive(Clone, Debug)]
 struct RecentRead {
-    session: Arc<str>,
+    session: SessionId,
     class: usize,
 }
 
@@ -56,11 +55,11 @@
 impl RecentReads {
     /// Records a read that is sent to the node. A read without a session names no object and is not recorded.
     pub(crate) fn push(&mut self, info: &RequestInfo) {
-        let Some(session) = &info.session else {
+        let Some(session) = info.session else {
             return;
         };
         self.reads.push_back(RecentRead {
-            session: session.clone(),
+            session,
             class: info.class,
         });
         let excess = self.reads.len().saturating_sub(RECENT_READS);
@@ -70,10 +69,10 @@
     /// Returns the similarity of a read to the recent reads, from 0 to 1: one half if a recent read has the same
     /// session, and the other half if one has the same session and class. A read without a session has similarity 0.
     fn similarity(&self, info: &RequestInfo) -> f64 {
-        let Some(session) = &info.session else {
+        let Some(session) = info.session else {
             return 0.0;
         };
-        let same_session = |read: &&RecentRead| read.session == *session;
+        let same_session = |read: &&RecentRead| read.session == session;
         let same_object = self.reads.iter().any(|read| same_session(&read));
         let same_statement = self
             .reads
--- a/tests/session_writes.rs
+++ b/tests/session_writes.rs
@@ -34,7 +34,8 @@
 
 /// Serves a write of a session, and returns the time of its commit.
 fn write(harness: &mut Harness, id: RequestId, session: &str) -> Time {
-    harness.send_request(session_request(id, AT_MOST_ONCE, session));
+    let node = harness.send_request(session_request(id, AT_MOST_ONCE, session));
+    assert_eq!(node.as_deref(), Some("p"), "write {id}");
     let committed_at = harness.now;
     harness.now += MS;
     let report = node_report(Role::Primary, committed_at);
@@ -94,6 +95,32 @@
     }
 }
 
+/// Guards against a table that grows without bound because a node has told no position, and against reads that miss a write which
+/// was forgotten for that.
+#[test]
+fn the_number_of_remembered_sessions_is_bounded_although_a_node_is_silent() {
+    let mut harness = Harness::new(settings_that_remember());
+    let mut commits = Vec::new();
+    for number in 0..200_000 {
+        commits.push(write(&mut harness, number, &format!("s{number}")));
+    }
+    let remembered = harness.balancer.remembered_session_count();
+    assert!(remembered <= 65_536, "{remembered} sessions");
+    let position = commits[commits.len() - 1] - COPY_AGE;
+    report_position(&mut harness, "r1", position);
+    for number in (0..200_000).step_by(9_973) {
+        let id = harness.now + number;
+        let read = session_request(id, OWN_WRITES, &format!("s{number}"));
+        let node = harness.send_request(read);
+        let has_its_write = commits[number as usize] <= position;
+        assert!(
+            node.as_deref() == Some("p") || (node.as_deref() == Some("r1") && has_its_write),
+            "s{number} at {node:?}"
+        );
+        harness.end_attempt(id, 0, AttemptEnd::Success, NodeReport::default());
+    }
+}
+
 /// Guards against stale reads of clients whose session the router does not know by name, but when it has last written.
 #[test]
 fn the_stated_age_of_the_last_write_counts_beside_the_remembered_one() {
