--- a/router/src/front/query.rs
+++ b/router/src/front/query.rs
@@ -3,10 +3,11 @@
 use super::Context;
 use super::client::{Client, ForwardedRequest, Pending};
 use super::memory_pressure::MEMORY_SPENT_TEXT;
-use super::request_ids::IdFault;
+use super::request_ids::{IdFault, RememberedId};
 use crate::clock;
+use crate::net::budget::Reservation;
 use crate::statement_labels::{self, Labels, Statement};
-use plovercove::{Access, Class, Micros, RequestInfo, Time};
+use plovercove::{Access, Class, Idempotency, Micros, RequestInfo, Time};
 use plovercove_engine::{Engine, Key};
 use plovercove_pgwire::messages::{self, code};
 use plovercove_pgwire::reply::Shape;
@@ -174,33 +175,13 @@
         let class_rules = &engine.classes()[class];
         let time_left = check_timeout(&labels, class_rules)?;
         let tenant = check_tenant(context, &labels)?;
-        if self.refuses_requests() {
-            let error = QueryError::by_router(code::TOO_MANY_CONNECTIONS, MEMORY_SPENT_TEXT);
-            return Err(error);
-        }
         // The list may not have arrived yet, or not name the group for a while.
         if !engine.knows_group(labels.group) {
             let text = format!("no db node of group {} is known", labels.group);
             return Err(QueryError::by_router(code::CANNOT_CONNECT_NOW, text));
         }
-        let Some(reservation) = context.budget.reserve(text.len()) else {
-            let error = QueryError::by_router(code::TOO_MANY_CONNECTIONS, MEMORY_SPENT_TEXT);
-            return Err(error);
-        };
-        let id = match context
-            .recent_ids
-            .insert(labels.id, class_rules.idempotency, now)
-        {
-            Ok(id) => id,
-            Err(IdFault::Repeated) => {
-                let text = format!("id: {} is another request's", labels.id);
-                return Err(QueryError::by_client(code::PROTOCOL_VIOLATION, text));
-            }
-            Err(IdFault::Full) => {
-                let error = QueryError::by_router(code::TOO_MANY_CONNECTIONS, IDS_SPENT_TEXT);
-                return Err(error);
-            }
-        };
+        let reservation = self.reserve_statement(context, text)?;
+        let id = remember_id(context, labels.id, class_rules.idempotency, now)?;
         let access = class_rules.access;
         let wants_labels = context.listeners[self.listener].wants_labels();
         let has_session = matches!(access, Access::Write | Access::OwnWrites);
@@ -235,6 +216,15 @@
         })
     }
 
+    /// Reserves the memory of a statement, unless requests of the client are refused.
+    fn reserve_statement(&self, context: &Context, text: &str) -> Result<Reservation, QueryError> {
+        let may_reserve = !self.refuses_requests();
+        let reservation = may_reserve.then(|| context.budget.reserve(text.len()));
+        reservation
+            .flatten()
+            .ok_or_else(|| QueryError::by_router(code::TOO_MANY_CONNECTIONS, MEMORY_SPENT_TEXT))
+    }
+
     /// Returns the time since the session's last write, as the position in the labels states it. A client without labels sends
     /// no position; for its reads of its own writes, it is the time since this router answered the client's last write.
     fn last_write_age(
@@ -263,6 +253,23 @@
     );
 }
 
+/// Remembers the id of a request, or returns an error if it has been used of late or cannot be remembered.
+fn remember_id(
+    context: &mut Context,
+    id: &str,
+    idempotency: Idempotency,
+    now: Time,
+) -> Result<RememberedId, QueryError> {
+    let inserted = context.recent_ids.insert(id, idempotency, now);
+    inserted.map_err(|fault| match fault {
+        IdFault::Repeated => {
+            let text = format!("id: {id} is another request's");
+            QueryError::by_client(code::PROTOCOL_VIOLATION, text)
+        }
+        IdFault::Full => QueryError::by_router(code::TOO_MANY_CONNECTIONS, IDS_SPENT_TEXT),
+    })
+}
+
 /// Returns the timeout that the client has set, or an error if it is zero or too long.
 fn check_timeout(labels: &Labels<'_>, class: &Class) -> Result<Micros, QueryError> {
     let timeout = clock::from_ms(labels.timeout_ms);
