Request ids: 131,072 of those that must not run twice in a generation

Need: with limits.memory_mb at its least, 32, four tenths of it, two generations of 262,144 ids (9 MB by arithmetic of the hash table) and the rest of the router came near the limit.

Result: the tests of request_ids hold.

--- a/router/src/front/request_ids.rs
+++ b/router/src/front/request_ids.rs
@@ -8,7 +8,7 @@
 /// Maximum number of ids of requests that may be repeated in one generation. Beyond it, older ones are forgotten early.
 const MAX_REPEATABLE_IDS: usize = 64 * 1024;
 /// Maximum number of ids of requests that must not run twice in one generation. Beyond it, such requests are refused.
-const MAX_UNREPEATABLE_IDS: usize = 256 * 1024;
+const MAX_UNREPEATABLE_IDS: usize = 128 * 1024;
 
 /// Why the id of a request is not accepted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
