Primary: a write without a known primary asks the most advanced member first again

Cause, told apart by scratch edits of the decisions: it holds with the new rule for claims and without the list's say in which member a write asks first, which had added; with that say it fails, also with the list seating primaries as before.

--- a/router/src/front/read_ahead.rs
+++ b/router/src/front/read_ahead.rs
@@ -21,6 +21,7 @@
 /// Time for which bytes may wait unread before requests of their client are refused. No attempt may begin more than 100 ms after
 /// a client has closed.
 const MAX_UNREAD_TIME: Micros = 50_000;
+
 /// Whether the router would see that the client closes its connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum CloseDetection {
--- a/src/primary.rs
+++ b/src/primary.rs
@@ -2,11 +2,11 @@
 //!
 //! The newest evidence wins: an answer counts as of now, and a report as of the position that it states. The endpoint
 //! list counts only until a member of the group has told its role, since it is seconds late or shows the roles of the
-//! start; after that it only says which member to ask first. This prevents three failures: stale reads at a former
+//! start. This prevents three failures: stale reads at a former
 //! primary that the list still names, a presumed primary that changes back and forth on outdated reports, and writes
 //! that wait for a primary that no list names.
 
-use crate::api::{Action, GroupId, LogEvent, Micros, NodeId, NodeReport, Role, RoleSource, Time};
+use crate::api::{Action, GroupId, LogEvent, Micros, NodeId, NodeReport, Role, Time};
 use crate::balancer::Balancer;
 use crate::load::ExternalLoad;
 use crate::node::Node;
@@ -15,9 +15,6 @@
 
 /// Time during which a member that denied being primary gets no further writes as a presumed primary.
 const DENIAL_PAUSE: Micros = 250_000;
-/// Time for which a list that names the current primary may be older than a member's denial of being primary.
-const MAX_LIST_DELAY: Micros = 6_000_000;
-
 /// How a node's report about itself reached this router.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ReportOrigin {
@@ -85,15 +82,6 @@
 }
 
 impl Node {
-    /// Returns whether the endpoint list names the node as primary and may be newer than the node's last denial.
-    fn is_named_since_denial(&self, role_source: RoleSource, now: Time) -> bool {
-        let may_be_newer = |denied_at: Time| match role_source {
-            RoleSource::Late => now >= denied_at + MAX_LIST_DELAY,
-            RoleSource::Initial | RoleSource::None => false,
-        };
-        self.endpoint.listed_as_primary && self.denied_primary_at.is_none_or(may_be_newer)
-    }
-
     /// Returns whether a claim to be primary that was made at this time or later is newer than the node's last denial.
     fn claims_since_denial(&self, claimed_since: Time) -> bool {
         self.denied_primary_at
@@ -174,8 +162,8 @@
         }
     }
 
-    /// Finds the primary of a group in which none is known. One write at a time is sent to a member: first to the one that
-    /// the endpoint list names, then to the most advanced. A member that is not primary rejects the write without executing it, so the only cost is the attempt.
+    /// Finds the primary of a group in which none is known. One write at a time is sent to a member, the most advanced
+    /// first. A member that is not primary rejects the write without executing it, so the only cost is the attempt.
     ///
     /// Returns the member to try, and a member to poll for its role. Hundreds of routers would poll too often, so
     /// routers with a sparse view poll none.
@@ -197,11 +185,8 @@
             let is_ready = node.is_usable(self.now) || node.accepts_trial(self.now);
             is_ready && !node.has_recently_denied(self.now)
         });
-        let most_likely = to_try.max_by_key(|node| {
-            let is_named = self.is_named_since_denial(node);
-            (is_named, node.position.applied_up_to)
-        });
-        (most_likely, to_check)
+        let most_advanced = to_try.max_by_key(|node| node.position.applied_up_to);
+        (most_advanced, to_check)
     }
 
     /// Returns the member to poll for its role on behalf of a read that only the primary can serve. No write may come that
@@ -232,8 +217,4 @@
         let members = members.filter(|node| self.position_check_pays(node));
         members.min_by_key(|node| (node.checked_at, node.router_order))
     }
-
-    fn is_named_since_denial(&self, node: &Node) -> bool {
-        node.is_named_since_denial(self.settings.role_source, self.now)
-    }
 }
